Set up the build, the design page and the module interfaces

Cause: the repository is empty; every part needs one build, one set of borders and one page that says who owns which state.

Change: multi-module Maven build on JDK 17 with the Spring formatter and Checkstyle rules, ArchUnit rules for the module borders, value types, time service, findings, event log, the ports to outside systems and the interfaces of traffic, placement and peer. prometheus-metrics-annotations cannot be resolved and is excluded; it holds only compile-time markers.

Conclusion: parts can now be built side by side against the interfaces.

--- /dev/null
+++ b/base/src/main/java/org/celeryhill/base/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types, time, findings and logging that all modules share.
+ */
+package org.celeryhill.base;
--- /dev/null
+++ b/config/src/main/java/org/celeryhill/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Templates, parameters and revisions: reading, validation and difference.
+ */
+package org.celeryhill.config;
--- /dev/null
+++ b/placement/src/main/java/org/celeryhill/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Pure planning of which engine holds which model.
+ */
+package org.celeryhill.placement;
--- /dev/null
+++ b/port/src/main/java/org/celeryhill/port/PlainService.java
@@ -0,0 +1,111 @@
+package org.celeryhill.port;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.BackendServerId;
+
+/**
+ * One backend server of a plain service, or the legacy serving system. Implementations
+ * are thread-safe and never throw for a failure of the server or the network.
+ */
+public interface PlainService {
+
+	/**
+	 * Returns the id of the backend server.
+	 * @return the id, never null
+	 */
+	BackendServerId id();
+
+	/**
+	 * Sends one call and waits for the whole answer.
+	 * @param call the call, not null
+	 * @param timeout the longest wait, not null
+	 * @return the outcome
+	 */
+	CallResult call(Call call, Duration timeout);
+
+	/**
+	 * Asks the server for its load. Blocks up to the timeout of the implementation.
+	 * @return the load, or an unreachable load if there was no answer
+	 */
+	Load load();
+
+	/**
+	 * A call.
+	 *
+	 * @param attempt the unique id of this attempt, not null
+	 * @param method the HTTP method, not null
+	 * @param path the path below the service with its query, not null
+	 * @param headers the headers to send, not null
+	 * @param body the body, not null, may be empty; not copied
+	 */
+	record Call(AttemptId attempt, String method, String path, Map<String, String> headers, byte[] body) {
+
+		/** Creates a call and copies the headers. */
+		public Call {
+			Objects.requireNonNull(attempt, "attempt");
+			Objects.requireNonNull(method, "method");
+			Objects.requireNonNull(path, "path");
+			Objects.requireNonNull(body, "body");
+			headers = Map.copyOf(headers);
+		}
+
+	}
+
+	/** Result of a call. */
+	sealed interface CallResult permits Answered, NotRun, CallUnknown {
+
+	}
+
+	/**
+	 * The server answered, so the call ran.
+	 *
+	 * @param attempt the attempt that the server says it answers, not null
+	 * @param status the HTTP status
+	 * @param headers the headers of the answer, not null
+	 * @param body the body, not null; not copied
+	 */
+	record Answered(AttemptId attempt, int status, Map<String, String> headers, byte[] body) implements CallResult {
+
+		/** Creates an answer and copies the headers. */
+		public Answered {
+			headers = Map.copyOf(headers);
+		}
+
+	}
+
+	/**
+	 * The call did not run and will not: no byte was sent, or the server refused it
+	 * before running it.
+	 *
+	 * @param reason a short text for logs, not null
+	 */
+	record NotRun(String reason) implements CallResult {
+
+	}
+
+	/**
+	 * The call may have run.
+	 *
+	 * @param reason a short text for logs, not null
+	 */
+	record CallUnknown(String reason) implements CallResult {
+
+	}
+
+	/**
+	 * Load of a plain service.
+	 *
+	 * @param isReachable whether the server answered
+	 * @param running the calls that run
+	 * @param capacity the calls that can run at once
+	 * @param isLeaving whether the server is to get no new work
+	 */
+	record Load(boolean isReachable, int running, int capacity, boolean isLeaving) {
+
+	}
+
+}
--- /dev/null
+++ b/port/src/main/java/org/celeryhill/port/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Interfaces to the systems outside this one, and the messages they carry.
+ */
+package org.celeryhill.port;
