--- /dev/null
+++ b/fake/src/main/java/org/celeryhill/fake/FakeObjectService.java
@@ -0,0 +1,73 @@
+package org.celeryhill.fake;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.celeryhill.base.TimerService;
+import org.celeryhill.port.ObjectService;
+
+/**
+ * Object service in memory, with faults under the target {@code object}. Thread-safe.
+ */
+public final class FakeObjectService implements ObjectService {
+
+	/** Name of the fault target. */
+	public static final String TARGET = "object";
+
+	/** Objects by name. Guarded by this. */
+	private final Map<String, byte[]> objects = new HashMap<>();
+
+	/** Runs each call under its fault. */
+	private final FaultyCall call;
+
+	private FakeObjectService(FaultyCall call) {
+		this.call = call;
+	}
+
+	/**
+	 * Returns an empty service whose slow answers do not block.
+	 * @param timer the time of late effects, not null
+	 * @param faults the faults, not null
+	 * @return the service, never null
+	 */
+	public static FakeObjectService create(TimerService timer, FaultSwitchboard faults) {
+		return create(timer, faults, (delay) -> {
+		});
+	}
+
+	/**
+	 * Returns an empty service.
+	 * @param timer the time of late effects, not null
+	 * @param faults the faults, not null
+	 * @param pause called with the delay of a slow exchange, not null
+	 * @return the service, never null
+	 */
+	public static FakeObjectService create(TimerService timer, FaultSwitchboard faults, Consumer<Duration> pause) {
+		return new FakeObjectService(new FaultyCall(timer, faults, TARGET, pause));
+	}
+
+	@Override
+	public PutResult put(String name, byte[] bytes) {
+		byte[] copy = bytes.clone();
+		return this.call.run(() -> putNow(name, copy), () -> PutResult.UNKNOWN, () -> PutResult.UNKNOWN);
+	}
+
+	@Override
+	public GetResult get(String name) {
+		return this.call.run(() -> getNow(name), () -> new GetFailed("no answer"), () -> new GetFailed("down"));
+	}
+
+	private synchronized PutResult putNow(String name, byte[] bytes) {
+		byte[] old = this.objects.putIfAbsent(name, bytes);
+		return (old == null || Arrays.equals(old, bytes)) ? PutResult.STORED : PutResult.DIFFERENT;
+	}
+
+	private synchronized GetResult getNow(String name) {
+		byte[] bytes = this.objects.get(name);
+		return (bytes != null) ? new Content(bytes.clone()) : new Missing(name);
+	}
+
+}
