--- /dev/null
+++ b/state/src/main/java/org/celeryhill/state/ConditionalWriter.java
@@ -0,0 +1,225 @@
+package org.celeryhill.state;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.port.Row;
+import org.celeryhill.port.RowKey;
+import org.celeryhill.port.RowWrite;
+import org.celeryhill.port.TableService;
+
+/**
+ * Writes single rows conditionally and finds out by reading back whether a write without
+ * an answer took effect. Every try of one write carries the same attempt id and the same
+ * expected version, so that it takes effect at most once. Each operation makes at most
+ * {@link RetryPolicy#tries()} writes and as many reads, each bounded by the timeout of
+ * the table service; a slow service delays the caller by their sum plus the pauses of the
+ * policy. Thread-safe.
+ */
+public final class ConditionalWriter {
+
+	/** Table service. */
+	private final TableService table;
+
+	/** Source of attempt ids. */
+	private final Supplier<AttemptId> attempts;
+
+	/** Bound of the retries. */
+	private final RetryPolicy retries;
+
+	private ConditionalWriter(TableService table, Supplier<AttemptId> attempts, RetryPolicy retries) {
+		this.table = Objects.requireNonNull(table, "table");
+		this.attempts = Objects.requireNonNull(attempts, "attempts");
+		this.retries = Objects.requireNonNull(retries, "retries");
+	}
+
+	/**
+	 * Returns a writer.
+	 * @param table the table service, not null
+	 * @param attempts the source of unique attempt ids, not null
+	 * @param retries the bound of the retries, not null
+	 * @return the writer, never null
+	 */
+	public static ConditionalWriter create(TableService table, Supplier<AttemptId> attempts, RetryPolicy retries) {
+		return new ConditionalWriter(table, attempts, retries);
+	}
+
+	/**
+	 * Returns a new attempt id.
+	 * @return the id, never null
+	 */
+	public AttemptId nextAttempt() {
+		return this.attempts.get();
+	}
+
+	/**
+	 * Reads a row, with retries.
+	 * @param key the row, not null
+	 * @return the row, its absence, or a failure when no try was answered
+	 */
+	public TableService.ReadResult read(RowKey key) {
+		TableService.ReadResult result = this.table.read(key);
+		for (int retry = 1; retry < this.retries.tries() && isFailed(result); retry++) {
+			this.retries.beforeRetry(retry);
+			result = this.table.read(key);
+		}
+		return result;
+	}
+
+	/**
+	 * Reads the rows of a table, with retries.
+	 * @param tableName the table, not null
+	 * @param keyPrefix the prefix of the keys, not null, may be empty
+	 * @return the rows, or a failure when no try was answered
+	 */
+	public TableService.ScanResult scan(String tableName, String keyPrefix) {
+		TableService.ScanResult result = this.table.scan(tableName, keyPrefix);
+		for (int retry = 1; retry < this.retries.tries() && result instanceof TableService.ReadFailed; retry++) {
+			this.retries.beforeRetry(retry);
+			result = this.table.scan(tableName, keyPrefix);
+		}
+		return result;
+	}
+
+	/**
+	 * Writes a row under a new attempt id.
+	 * @param write the write, not null
+	 * @return the outcome
+	 */
+	public Outcome write(RowWrite write) {
+		return write(nextAttempt(), write);
+	}
+
+	/**
+	 * Writes a row.
+	 * @param attempt the id of this write, not null, never used for another one
+	 * @param write the write, not null
+	 * @return the outcome
+	 */
+	public Outcome write(AttemptId attempt, RowWrite write) {
+		return run(attempt, write, false);
+	}
+
+	/**
+	 * Tries again to find out what became of a write, and repeats it if it has not taken
+	 * effect.
+	 * @param unresolved the earlier outcome, not null
+	 * @return the outcome
+	 */
+	public Outcome resolve(Unresolved unresolved) {
+		return run(unresolved.attempt(), unresolved.write(), true);
+	}
+
+	private Outcome run(AttemptId attempt, RowWrite write, boolean mayBeWritten) {
+		boolean isUnknown = mayBeWritten;
+		String reason = "";
+		for (int turn = 0; turn < this.retries.tries(); turn++) {
+			if (turn > 0) {
+				this.retries.beforeRetry(turn);
+			}
+			Optional<Outcome> decided = (isUnknown) ? readBack(attempt, write) : Optional.empty();
+			if (decided.isPresent()) {
+				return decided.get();
+			}
+			TableService.WriteResult result = this.table.write(attempt, List.of(write));
+			if (result instanceof TableService.Written written) {
+				return new Applied(written.rows().stream().findFirst());
+			}
+			if (result instanceof TableService.Conflict) {
+				return afterConflict(attempt, write, isUnknown);
+			}
+			if (result instanceof TableService.NotWritten notWritten) {
+				reason = notWritten.reason();
+			}
+			else if (result instanceof TableService.WriteUnknown unknown) {
+				reason = unknown.reason();
+				isUnknown = true;
+			}
+		}
+		Optional<Outcome> decided = (isUnknown) ? readBack(attempt, write) : Optional.empty();
+		Outcome undecided = (isUnknown) ? new Unresolved(attempt, write, reason) : new NotApplied(reason);
+		return decided.orElse(undecided);
+	}
+
+	private Outcome afterConflict(AttemptId attempt, RowWrite write, boolean isUnknown) {
+		if (!isUnknown) {
+			return new Overtaken(false);
+		}
+		return readBack(attempt, write).orElse(new Overtaken(true));
+	}
+
+	private Optional<Outcome> readBack(AttemptId attempt, RowWrite write) {
+		TableService.ReadResult result = this.table.read(write.key());
+		if (result instanceof TableService.Found found) {
+			return judge(attempt, write, found.row());
+		}
+		if (result instanceof TableService.Absent && write.expectedVersion() != RowWrite.ABSENT) {
+			return Optional.of((write.value().isEmpty()) ? new Applied(Optional.empty()) : new Overtaken(true));
+		}
+		return Optional.empty();
+	}
+
+	private Optional<Outcome> judge(AttemptId attempt, RowWrite write, Row row) {
+		if (row.writer().equals(attempt)) {
+			return Optional.of(new Applied(Optional.of(row)));
+		}
+		if (row.version() == write.expectedVersion()) {
+			return Optional.empty();
+		}
+		boolean isNextVersion = row.version() == write.expectedVersion() + 1 && write.value().isPresent();
+		return Optional.of(new Overtaken(!isNextVersion));
+	}
+
+	private static boolean isFailed(TableService.ReadResult result) {
+		return result instanceof TableService.ReadFailed;
+	}
+
+	/** Outcome of a conditional write. */
+	public sealed interface Outcome permits Applied, Overtaken, NotApplied, Unresolved {
+
+	}
+
+	/**
+	 * The write took effect.
+	 *
+	 * @param row the row as written, empty for a deletion, not null
+	 */
+	public record Applied(Optional<Row> row) implements Outcome {
+
+	}
+
+	/**
+	 * The row has another version than expected, so that the write can no longer take
+	 * effect.
+	 *
+	 * @param mayHaveApplied whether it may have taken effect before the row was changed
+	 * again; the content of the row tells
+	 */
+	public record Overtaken(boolean mayHaveApplied) implements Outcome {
+
+	}
+
+	/**
+	 * Nothing was written and nothing will be.
+	 *
+	 * @param reason a short text for logs, not null
+	 */
+	public record NotApplied(String reason) implements Outcome {
+
+	}
+
+	/**
+	 * The write may have taken effect or may still do so.
+	 *
+	 * @param attempt the id of the write, not null
+	 * @param write the write, not null
+	 * @param reason a short text for logs, not null
+	 */
+	public record Unresolved(AttemptId attempt, RowWrite write, String reason) implements Outcome {
+
+	}
+
+}
--- /dev/null
+++ b/state/src/main/java/org/celeryhill/state/LeaseStore.java
@@ -0,0 +1,277 @@
+package org.celeryhill.state;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.FencingToken;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.TimerService;
+import org.celeryhill.port.Row;
+import org.celeryhill.port.RowKey;
+import org.celeryhill.port.RowWrite;
+import org.celeryhill.port.TableService;
+
+/**
+ * Leases in the table {@code lease}. Each grant has a higher fencing token than all
+ * earlier ones. At most one process at a time sees its lease as usable as long as the
+ * clocks of two hosts run at rates within a factor of 1.5 of each other; a process that
+ * is paused after it has checked its lease may act later, so that nothing may depend on
+ * the lease alone. Every operation blocks for the bounded tries of the
+ * {@link ConditionalWriter} and never throws for a failure of the store. Thread-safe.
+ */
+public final class LeaseStore {
+
+	/** Table of the leases. */
+	public static final String TABLE = "lease";
+
+	/** Turns of read and write in one operation when other writers interfere. */
+	private static final int MAX_TURNS = 4;
+
+	/** Writer of the rows. */
+	private final ConditionalWriter writer;
+
+	/** Time of this observer. */
+	private final TimerService timer;
+
+	/** Host of this process. */
+	private final HostId host;
+
+	/** Id of this process. */
+	private final AttemptId session;
+
+	/** Duration of granted leases. */
+	private final Duration duration;
+
+	/** What this process has seen of other holders. */
+	private final Map<LeaseName, LeaseObservation> observations = new ConcurrentHashMap<>();
+
+	private LeaseStore(ConditionalWriter writer, TimerService timer, HostId host, Duration duration) {
+		this.writer = Objects.requireNonNull(writer, "writer");
+		this.timer = Objects.requireNonNull(timer, "timer");
+		this.host = Objects.requireNonNull(host, "host");
+		this.duration = Objects.requireNonNull(duration, "duration");
+		this.session = writer.nextAttempt();
+	}
+
+	/**
+	 * Returns the store of one process.
+	 * @param writer the writer of the rows, not null
+	 * @param timer the time, not null
+	 * @param host the host of this process, not null
+	 * @param duration the duration of leases that are granted to this process, not null,
+	 * at least a millisecond
+	 * @return the store, never null
+	 */
+	public static LeaseStore create(ConditionalWriter writer, TimerService timer, HostId host, Duration duration) {
+		return new LeaseStore(writer, timer, host, duration);
+	}
+
+	/**
+	 * Acquires a lease, or renews it if this process holds it. An observer has to call
+	 * this repeatedly, since it judges expiry from what it saw in earlier calls. With the
+	 * store absent it returns {@link StoreUnavailable}; a grant that takes effect late is
+	 * found and renewed by the next call.
+	 * @param name the lease, not null
+	 * @return the result
+	 */
+	public AcquireResult acquire(LeaseName name) {
+		for (int turn = 0; turn < MAX_TURNS; turn++) {
+			TableService.ReadResult result = this.writer.read(key(name));
+			if (result instanceof TableService.ReadFailed failed) {
+				return StoreUnavailable.unchanged(failed.reason());
+			}
+			Optional<Row> row = row(result);
+			Optional<LeaseRecord> current = row.flatMap((found) -> StateJson.read(found.value(), LeaseRecord.class));
+			if (row.isPresent() && current.isEmpty()) {
+				return StoreUnavailable.unchanged("malformed row of lease " + name);
+			}
+			Optional<HeldBy> other = current.flatMap((record) -> observe(name, record));
+			if (other.isPresent()) {
+				return other.get();
+			}
+			Attempt attempt = write(name, row, next(current));
+			if (attempt.lease().isPresent()) {
+				return new Granted(attempt.lease().get());
+			}
+			if (attempt.failure().isPresent()) {
+				return attempt.failure().get();
+			}
+		}
+		return StoreUnavailable.unchanged("other writers interfere with lease " + name);
+	}
+
+	/**
+	 * Renews a lease. With the store absent it returns {@link StoreUnavailable} and the
+	 * lease stays usable until {@link Lease#usableUntilNanos()}.
+	 * @param lease the lease, not null
+	 * @return the result
+	 */
+	public RenewResult renew(Lease lease) {
+		for (int turn = 0; turn < MAX_TURNS; turn++) {
+			TableService.ReadResult result = this.writer.read(key(lease.name()));
+			if (result instanceof TableService.ReadFailed failed) {
+				return StoreUnavailable.unchanged(failed.reason());
+			}
+			Optional<Row> row = row(result);
+			Optional<LeaseRecord> current = held(row, lease);
+			if (current.isEmpty()) {
+				return new Lost(lease);
+			}
+			Attempt attempt = write(lease.name(), row, current.get().renewed());
+			if (attempt.lease().isPresent()) {
+				return new Granted(attempt.lease().get());
+			}
+			if (attempt.failure().isPresent()) {
+				return attempt.failure().get();
+			}
+		}
+		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name());
+	}
+
+	/**
+	 * Gives a lease back, so that another process can acquire it at once. The caller must
+	 * have stopped using it. With the store absent the lease expires by itself.
+	 * @param lease the lease, not null
+	 * @return the result
+	 */
+	public ReleaseResult release(Lease lease) {
+		for (int turn = 0; turn < MAX_TURNS; turn++) {
+			TableService.ReadResult result = this.writer.read(key(lease.name()));
+			if (result instanceof TableService.ReadFailed failed) {
+				return StoreUnavailable.unchanged(failed.reason());
+			}
+			Optional<Row> row = row(result);
+			Optional<LeaseRecord> current = held(row, lease);
+			if (current.isEmpty()) {
+				return new Released(lease.name());
+			}
+			Attempt attempt = write(lease.name(), row, current.get().withReleased());
+			if (attempt.lease().isPresent()) {
+				return new Released(lease.name());
+			}
+			if (attempt.failure().isPresent()) {
+				return attempt.failure().get();
+			}
+		}
+		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name());
+	}
+
+	private Optional<HeldBy> observe(LeaseName name, LeaseRecord record) {
+		if (record.isHeldBy(this.session)) {
+			return Optional.empty();
+		}
+		long now = this.timer.nanoTime();
+		LeaseObservation observation = this.observations.compute(name, (key, old) -> {
+			LeaseObservation first = new LeaseObservation(record, now);
+			return (old != null) ? old.update(record, now) : first;
+		});
+		if (observation.isExpired(now)) {
+			return Optional.empty();
+		}
+		return Optional.of(new HeldBy(record.holder(), this.timer.instant().plus(observation.remaining(now))));
+	}
+
+	private LeaseRecord next(Optional<LeaseRecord> current) {
+		if (current.isPresent() && current.get().isHeldBy(this.session)) {
+			return current.get().renewed();
+		}
+		FencingToken last = current.map(LeaseRecord::token).orElse(FencingToken.ZERO);
+		return LeaseRecord.granted(this.host, this.session, last.next(), this.duration);
+	}
+
+	private Attempt write(LeaseName name, Optional<Row> row, LeaseRecord record) {
+		long start = this.timer.nanoTime();
+		String json = StateJson.write(record);
+		RowWrite write = row.map((found) -> RowWrite.replace(found, json))
+			.orElseGet(() -> RowWrite.create(key(name), json));
+		ConditionalWriter.Outcome outcome = this.writer.write(write);
+		if (outcome instanceof ConditionalWriter.Applied) {
+			Lease lease = new Lease(name, record.holder(), record.session(), record.token(), record.duration(), start);
+			return new Attempt(Optional.of(lease), Optional.empty());
+		}
+		if (outcome instanceof ConditionalWriter.NotApplied failed) {
+			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unchanged(failed.reason())));
+		}
+		if (outcome instanceof ConditionalWriter.Unresolved failed) {
+			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unknown(failed.reason())));
+		}
+		return new Attempt(Optional.empty(), Optional.empty());
+	}
+
+	private static Optional<LeaseRecord> held(Optional<Row> row, Lease lease) {
+		return row.flatMap((found) -> StateJson.read(found.value(), LeaseRecord.class))
+			.filter((record) -> record.isHeldBy(lease.session()) && record.token().equals(lease.token()));
+	}
+
+	private static Optional<Row> row(TableService.ReadResult result) {
+		return (result instanceof TableService.Found found) ? Optional.of(found.row()) : Optional.empty();
+	}
+
+	private static RowKey key(LeaseName name) {
+		return RowKey.of(TABLE, name.value());
+	}
+
+	/** Result of {@link LeaseStore#acquire}. */
+	public sealed interface AcquireResult permits Granted, HeldBy, StoreUnavailable {
+
+	}
+
+	/** Result of {@link LeaseStore#renew}. */
+	public sealed interface RenewResult permits Granted, Lost, StoreUnavailable {
+
+	}
+
+	/** Result of {@link LeaseStore#release}. */
+	public sealed interface ReleaseResult permits Released, StoreUnavailable {
+
+	}
+
+	/**
+	 * This process holds the lease.
+	 *
+	 * @param lease the lease, not null
+	 */
+	public record Granted(Lease lease) implements AcquireResult, RenewResult {
+
+	}
+
+	/**
+	 * Another process holds the lease.
+	 *
+	 * @param holder its host, not null
+	 * @param until when the lease expires if it is not renewed, by the wall clock of this
+	 * host, for display only, not null
+	 */
+	public record HeldBy(HostId holder, Instant until) implements AcquireResult {
+
+	}
+
+	/**
+	 * Another process has acquired the lease, or it was given back.
+	 *
+	 * @param lease the lease that this process held, not null
+	 */
+	public record Lost(Lease lease) implements RenewResult {
+
+	}
+
+	/**
+	 * This process no longer holds the lease.
+	 *
+	 * @param name the lease, not null
+	 */
+	public record Released(LeaseName name) implements ReleaseResult {
+
+	}
+
+	/** Result of one write: a lease, a failure, or neither if the row has changed. */
+	private record Attempt(Optional<Lease> lease, Optional<StoreUnavailable> failure) {
+
+	}
+
+}
--- /dev/null
+++ b/state/src/main/java/org/celeryhill/state/StopTarget.java
@@ -0,0 +1,100 @@
+package org.celeryhill.state;
+
+import java.util.Locale;
+import java.util.Objects;
+
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.HostId;
+
+/**
+ * What a planned stop stops. Immutable and thread-safe.
+ *
+ * @param kind the kind, not null
+ * @param id the id of the host, backend server or data centre, never blank
+ */
+public record StopTarget(Kind kind, String id) {
+
+	/**
+	 * Creates a target.
+	 * @throws IllegalArgumentException if the id is blank
+	 */
+	public StopTarget {
+		Objects.requireNonNull(kind, "kind");
+		if (id.isBlank()) {
+			throw new IllegalArgumentException("id of a stop target must not be blank");
+		}
+	}
+
+	/**
+	 * Returns the entry daemon of a host as a target.
+	 * @param host the host, not null
+	 * @return the target, never null
+	 */
+	public static StopTarget entryHost(HostId host) {
+		return new StopTarget(Kind.ENTRY_HOST, host.value());
+	}
+
+	/**
+	 * Returns the planner daemon of a host as a target.
+	 * @param host the host, not null
+	 * @return the target, never null
+	 */
+	public static StopTarget planner(HostId host) {
+		return new StopTarget(Kind.PLANNER, host.value());
+	}
+
+	/**
+	 * Returns a backend server as a target.
+	 * @param backend the backend server, not null
+	 * @return the target, never null
+	 */
+	public static StopTarget backendServer(BackendServerId backend) {
+		return new StopTarget(Kind.BACKEND_SERVER, backend.value());
+	}
+
+	/**
+	 * Returns all hosts and backend servers of a data centre as a target.
+	 * @param dataCentre the data centre, not null
+	 * @return the target, never null
+	 */
+	public static StopTarget dataCentre(DataCentre dataCentre) {
+		return new StopTarget(Kind.DATA_CENTRE, dataCentre.value());
+	}
+
+	/**
+	 * Returns the key of the row of this target.
+	 * @return the key, such as {@code backend_server/engine-3}, never null
+	 */
+	public String toKey() {
+		return this.kind.name().toLowerCase(Locale.ROOT) + "/" + this.id;
+	}
+
+	/**
+	 * Returns whether a stop of this target includes a backend server.
+	 * @param backend the backend server, not null
+	 * @param dataCentre where it stands, not null
+	 * @return true if it is the target or stands in the target
+	 */
+	public boolean isCovering(BackendServerId backend, DataCentre dataCentre) {
+		return equals(backendServer(backend)) || equals(dataCentre(dataCentre));
+	}
+
+	/** Kind of a target. */
+	public enum Kind {
+
+		/** The entry daemon of a host. */
+		ENTRY_HOST,
+
+		/** The planner daemon of a host. */
+		PLANNER,
+
+		/** A backend server. */
+		BACKEND_SERVER,
+
+		/** A data centre. */
+		DATA_CENTRE
+
+	}
+
+}
