--- a/state/src/main/java/org/celeryhill/state/ClaimStore.java
+++ b/state/src/main/java/org/celeryhill/state/ClaimStore.java
@@ -228,7 +228,10 @@
 	}
 
 	private ClaimResult win(RowKey row, Claim claim) {
-		return (this.decided.add(claim.attempt())) ? new Won(row, claim) : new Running(claim.system());
+		if (!this.decided.add(claim.attempt())) {
+			return new Running(claim.system());
+		}
+		return new Won(row, claim, this.timer.nanoTime() + this.policy.timeout().toNanos());
 	}
 
 	private ClaimResult observe(Claim claim, long nowNanos) {
@@ -319,8 +322,21 @@
 	 *
 	 * @param row the row of the claim, not null
 	 * @param claim the claim, not null
+	 * @param sendUntilNanos when the caller has to give up sending, on the monotonic
+	 * clock of this process, in nanoseconds; a claim that is not sent in time is
+	 * withdrawn, since others take it as unknown by then and it may be collected some
+	 * time
 	 */
-	public record Won(RowKey row, Claim claim) implements ClaimResult {
+	public record Won(RowKey row, Claim claim, long sendUntilNanos) implements ClaimResult {
+
+		/**
+		 * Returns whether the call may still be sent.
+		 * @param nowNanos the monotonic time of this process, in nanoseconds
+		 * @return true within the timeout of the claim
+		 */
+		public boolean isSendable(long nowNanos) {
+			return nowNanos - this.sendUntilNanos < 0;
+		}
 
 	}
 
--- a/state/src/main/java/org/celeryhill/state/CommandLedger.java
+++ b/state/src/main/java/org/celeryhill/state/CommandLedger.java
@@ -86,7 +86,8 @@
 	/**
 	 * Records a command that the caller is about to send. Only after {@link Recorded} may
 	 * it be sent, once. With the store absent it returns {@link StoreUnavailable} and
-	 * nothing may be sent; if the outcome is unknown, the caller abandons the command.
+	 * nothing may be sent; the command then counts as abandoned, also if its write
+	 * arrives late.
 	 * @param lease the lease of the engine's group, not null
 	 * @param command the command with the token of the lease, not null
 	 * @param report the engine's report on which the decision rests, not null
@@ -110,7 +111,8 @@
 	/**
 	 * Records that the caller is about to send an outstanding command again, with the
 	 * same id and the token of its own lease. Only after {@link Recorded} may the
-	 * returned command be sent, once. With the store absent nothing may be sent.
+	 * returned command be sent, once. With the store absent nothing may be sent and the
+	 * resending counts as abandoned.
 	 * @param lease the lease of the engine's group, not null
 	 * @param engine the engine, not null
 	 * @param entry the outstanding entry, not null
@@ -137,8 +139,8 @@
 	}
 
 	/**
-	 * Tells that a command will not be sent by this process, also when the outcome of
-	 * recording it is unknown. With the store absent as for {@link #sent}.
+	 * Tells that a recorded command will not be sent by this process. With the store
+	 * absent as for {@link #sent}.
 	 * @param engine the engine, not null
 	 * @param command the command, not null
 	 * @return the result
@@ -171,13 +173,37 @@
 	 * Tells that all processes on a host have ended and send nothing more, for example
 	 * since the platform has removed the host. Their unfinished sendings are closed.
 	 * @param engine the engine, not null
-	 * @param host the host, not null, not the one of this process
+	 * @param host the host, not null; for the host of this process its earlier processes
+	 * are meant
 	 * @return the result
 	 */
 	public ChangeResult closeSenders(BackendServerId engine, HostId host) {
 		return change(engine, (ledger) -> ledger.closedExcept(host, this.sender));
 	}
 
+	/**
+	 * Closes the unfinished sendings of earlier processes of this host in all rows. To be
+	 * called after the start of a process until it succeeds; each other write of a row
+	 * does the same for that row.
+	 * @return {@link LoadedAll} with the ledgers as they are now, or a failure after
+	 * which the call can be repeated
+	 */
+	public LoadAllResult closeEarlierProcesses() {
+		LoadAllResult result = loadAll();
+		if (!(result instanceof LoadedAll all)) {
+			return result;
+		}
+		Map<BackendServerId, EngineLedger> ledgers = new TreeMap<>();
+		for (BackendServerId engine : all.ledgers().keySet()) {
+			ChangeResult changed = closeSenders(engine, this.sender.host());
+			if (changed instanceof StoreUnavailable failed) {
+				return failed;
+			}
+			ledgers.put(engine, ((Changed) changed).ledger());
+		}
+		return new LoadedAll(ledgers);
+	}
+
 	/**
 	 * Reads the ledger of an engine.
 	 * @param engine the engine, not null
@@ -220,6 +246,7 @@
 				return loading.failure().get();
 			}
 			if (turn > 0 && isRecorded(loading.ledger(), command)) {
+				memory(command.engine()).reopen(command.attempt());
 				return new Recorded(command);
 			}
 			EngineLedger.Admission admission = rule.apply(loading.prepared());
@@ -229,6 +256,7 @@
 			ConditionalWriter.Outcome outcome = write(loading, ((EngineLedger.Admitted) admission).ledger());
 			Optional<StoreUnavailable> failure = failure(outcome);
 			if (failure.isPresent()) {
+				memory(command.engine()).close(command.attempt(), CommandResult.NOT_SENT);
 				return failure.get();
 			}
 			if (outcome instanceof ConditionalWriter.Applied) {
--- a/state/src/main/java/org/celeryhill/state/LedgerMemory.java
+++ b/state/src/main/java/org/celeryhill/state/LedgerMemory.java
@@ -35,6 +35,14 @@
 		this.closures.put(command, result);
 	}
 
+	/**
+	 * Forgets the outcome of a sending since the command is about to be sent again.
+	 * @param command the command
+	 */
+	synchronized void reopen(AttemptId command) {
+		this.closures.remove(command);
+	}
+
 	/**
 	 * Returns the outcomes that are not written yet.
 	 * @return a copy
