--- /dev/null
+++ b/fake/src/test/java/org/celeryhill/fake/FaultSwitchboardTests.java
@@ -0,0 +1,36 @@
+package org.celeryhill.fake;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FaultSwitchboardTests {
+
+	/** Guards against runs that cannot be repeated. */
+	@Test
+	void sameSeedDrawsSameFaults() {
+		assertThat(draw(7)).isEqualTo(draw(7)).isNotEqualTo(draw(8));
+	}
+
+	/** Guards against scripted faults that hit another target or come out of order. */
+	@Test
+	void scriptedFaultsComeFirstAndOnce() {
+		FaultSwitchboard faults = FaultSwitchboard.ofSeed(1);
+		faults.setDown("table", true);
+		faults.script("table", Fault.NONE, Fault.SLOW);
+		assertThat(faults.next("object").fault()).isEqualTo(Fault.NONE);
+		assertThat(Stream.generate(() -> faults.next("table").fault()).limit(3)).containsExactly(Fault.NONE, Fault.SLOW,
+				Fault.DOWN);
+	}
+
+	private static List<FaultSwitchboard.Injection> draw(long seed) {
+		FaultSwitchboard faults = FaultSwitchboard.ofSeed(seed);
+		faults.setProbability("table", Fault.LOST_ANSWER, 0.3);
+		faults.setProbability("table", Fault.DELAYED_EFFECT, 0.3);
+		return Stream.generate(() -> faults.next("table")).limit(50).toList();
+	}
+
+}
--- a/state/src/main/java/org/celeryhill/state/ClaimEpoch.java
+++ b/state/src/main/java/org/celeryhill/state/ClaimEpoch.java
@@ -73,8 +73,11 @@
 			.row()
 			.map((row) -> RowWrite.replace(row, Long.toString(next)))
 			.orElseGet(() -> RowWrite.create(KEY, Long.toString(next)));
-		boolean isRaised = this.writer.write(write) instanceof ConditionalWriter.Applied;
-		return (isRaised) ? Optional.of(next) : Optional.empty();
+		if (!(this.writer.write(write) instanceof ConditionalWriter.Applied)) {
+			return Optional.empty();
+		}
+		observe(next);
+		return Optional.of(next);
 	}
 
 	private synchronized boolean isDue(EpochRow found) {
