--- /dev/null
+++ b/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
@@ -0,0 +1,170 @@
+package org.celeryhill.traffic;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+
+import org.celeryhill.base.PriorityClass;
+import org.celeryhill.base.UsageTotals;
+import org.celeryhill.config.ClassTarget;
+
+/**
+ * Waiting requests of one organisation and class. Not thread-safe.
+ */
+final class ClassQueue {
+
+	/** Class. */
+	final PriorityClass priority;
+
+	/** Organisation. */
+	final OrganisationQueue organisation;
+
+	/** Organisation and class under which usage is counted. */
+	final UsageTotals.Key key;
+
+	/** Queues by model. */
+	private final Map<ModelRoute, FlowQueue> flows = new HashMap<>();
+
+	/** Queues with a request that may find room, by arrival of the head. */
+	private final TreeSet<FlowQueue> ready = new TreeSet<>(Comparator.comparingLong(FlowQueue::order));
+
+	/** Rate at which requests were sent, in estimated tokens a second. */
+	final RateEstimate rate = new RateEstimate();
+
+	/** Learned part of the maximum answer length that is generated. */
+	double outputPart = 0.5;
+
+	/** Targets, replaced with each configuration. */
+	ClassTarget target;
+
+	/** Virtual start time of the next request, in tokens per part of the organisation. */
+	double tag;
+
+	/** Waiting requests. */
+	private int count;
+
+	/** Estimated tokens of the waiting requests. */
+	private long tokens;
+
+	/**
+	 * Creates an empty queue.
+	 * @param organisation the organisation
+	 * @param priority the class
+	 */
+	ClassQueue(OrganisationQueue organisation, PriorityClass priority) {
+		this.organisation = organisation;
+		this.priority = priority;
+		this.key = new UsageTotals.Key(organisation.id, priority);
+	}
+
+	/**
+	 * Returns the queue of a model.
+	 * @param route the route of the model
+	 * @return the queue
+	 */
+	FlowQueue flow(ModelRoute route) {
+		FlowQueue flow = this.flows.get(route);
+		if (flow == null) {
+			flow = new FlowQueue(this, route);
+			this.flows.put(route, flow);
+		}
+		return flow;
+	}
+
+	/**
+	 * Returns all queues.
+	 * @return the queues
+	 */
+	Iterable<FlowQueue> flows() {
+		return this.flows.values();
+	}
+
+	/**
+	 * Returns the queue whose head arrived first among those that may find room.
+	 * @return the queue, null if none is ready
+	 */
+	FlowQueue first() {
+		return this.ready.isEmpty() ? null : this.ready.first();
+	}
+
+	/**
+	 * Returns whether a request may find room.
+	 * @return true if at least one queue is ready
+	 */
+	boolean isReady() {
+		return !this.ready.isEmpty();
+	}
+
+	/**
+	 * Counts a request that joins.
+	 * @param pending the request
+	 */
+	void added(PendingRequest pending) {
+		if (this.count == 0) {
+			this.organisation.activated(this);
+		}
+		this.count++;
+		this.tokens += pending.cost;
+	}
+
+	/**
+	 * Counts a request that leaves.
+	 * @param pending the request
+	 */
+	void removed(PendingRequest pending) {
+		this.count--;
+		this.tokens -= pending.cost;
+	}
+
+	/**
+	 * Lists a queue as ready if it is.
+	 * @param flow the queue
+	 */
+	void register(FlowQueue flow) {
+		if (flow.order() >= 0) {
+			this.ready.add(flow);
+		}
+	}
+
+	/**
+	 * Removes a queue from the ready ones under its present order.
+	 * @param flow the queue
+	 */
+	void deregister(FlowQueue flow) {
+		if (flow.order() >= 0) {
+			this.ready.remove(flow);
+		}
+	}
+
+	/**
+	 * Returns the number of waiting requests.
+	 * @return the number
+	 */
+	int count() {
+		return this.count;
+	}
+
+	/**
+	 * Returns the estimated tokens of the waiting requests.
+	 * @return the tokens
+	 */
+	long tokens() {
+		return this.tokens;
+	}
+
+	/**
+	 * Returns how long the first ready request has waited relative to its target.
+	 * @param now the time in nanoseconds
+	 * @return the ratio, 0 if none is ready
+	 */
+	double pressure(long now) {
+		FlowQueue flow = first();
+		if (flow == null) {
+			return 0;
+		}
+		double waited = now - flow.peek().request.arrivedNanos();
+		return waited / this.target.firstToken().toNanos();
+	}
+
+}
--- /dev/null
+++ b/traffic/src/main/java/org/celeryhill/traffic/ModelRoute.java
@@ -0,0 +1,85 @@
+package org.celeryhill.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.celeryhill.base.ModelId;
+import org.celeryhill.base.PriorityClass;
+
+/**
+ * Candidates of one model, or of all calls of a plain service. Not thread-safe.
+ */
+final class ModelRoute {
+
+	/** Marks that no class is blocked. */
+	private static final int NONE = Integer.MAX_VALUE;
+
+	/** Model or adapter, null for a plain service. */
+	final ModelId model;
+
+	/** Route of the base model, null unless this is an adapter. */
+	final ModelRoute base;
+
+	/** Routes of the adapters on this model. */
+	final List<ModelRoute> adapters = new ArrayList<>();
+
+	/** Usable backend servers with the model ready, at most the subset of this daemon. */
+	BackendState[] candidates = {};
+
+	/** Usable backend servers with the model ready, the whole number. */
+	int total;
+
+	/** Whether the candidates must be determined anew. */
+	boolean isStale = true;
+
+	/** Queues that wait for room. */
+	private final List<FlowQueue> waiting = new ArrayList<>();
+
+	/** Class from which on no room is left. */
+	private int blockedFrom = NONE;
+
+	/**
+	 * Creates a route without candidates.
+	 * @param model the model or adapter, null for a plain service
+	 * @param base the route of the base model, null unless this is an adapter
+	 */
+	ModelRoute(ModelId model, ModelRoute base) {
+		this.model = model;
+		this.base = base;
+		if (base != null) {
+			base.adapters.add(this);
+		}
+	}
+
+	/**
+	 * Returns whether requests of a class are known to find no room.
+	 * @param priority the class
+	 * @return true until the next change of capacity
+	 */
+	boolean isBlocked(PriorityClass priority) {
+		return priority.ordinal() >= this.blockedFrom
+				|| (this.base != null && priority.ordinal() >= this.base.blockedFrom);
+	}
+
+	/**
+	 * Takes note that a queue found no room.
+	 * @param flow the queue
+	 */
+	void block(FlowQueue flow) {
+		this.blockedFrom = Math.min(this.blockedFrom, flow.priority().ordinal());
+		this.waiting.add(flow);
+	}
+
+	/** Lets the queues of the model and of its adapters try again. */
+	void unblock() {
+		this.blockedFrom = NONE;
+		for (FlowQueue flow : this.waiting) {
+			flow.unblock();
+		}
+		this.waiting.clear();
+		for (ModelRoute adapter : this.adapters) {
+			adapter.unblock();
+		}
+	}
+
+}
--- /dev/null
+++ b/traffic/src/main/java/org/celeryhill/traffic/RateEstimate.java
@@ -0,0 +1,37 @@
+package org.celeryhill.traffic;
+
+/**
+ * Exponentially weighted rate of an amount per second. Not thread-safe.
+ */
+final class RateEstimate {
+
+	/** Time constant of the average, in seconds. */
+	private static final double TIME_CONSTANT = 3;
+
+	/** Rate at the time of the last addition, per second. */
+	private double rate;
+
+	/** Time of the last addition, in nanoseconds. */
+	private long updated;
+
+	/**
+	 * Adds an amount.
+	 * @param amount the amount, zero or more
+	 * @param now the time in nanoseconds
+	 */
+	void add(double amount, long now) {
+		this.rate = perSecond(now) + amount / TIME_CONSTANT;
+		this.updated = now;
+	}
+
+	/**
+	 * Returns the rate.
+	 * @param now the time in nanoseconds
+	 * @return the amount per second
+	 */
+	double perSecond(long now) {
+		double seconds = (now - this.updated) / 1e9;
+		return (seconds <= 0) ? this.rate : this.rate * Math.exp(-seconds / TIME_CONSTANT);
+	}
+
+}
--- /dev/null
+++ b/traffic/src/main/java/org/celeryhill/traffic/TrafficTunables.java
@@ -0,0 +1,73 @@
+package org.celeryhill.traffic;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Constants of the traffic decisions that a deployment may set. Immutable and
+ * thread-safe.
+ *
+ * @param subsetSize the backend servers of one model that one daemon uses, at least 2
+ * @param queueLimit the requests that may wait for one organisation and class, at least 1
+ * @param hedgeFraction the hedges allowed per urgent request, from 0 to 1
+ * @param retryFraction the retries allowed per first attempt, from 0 to 1
+ * @param peerAge the age after which a peer's totals are ignored, not null, positive
+ * @param suspicion the time for which a failed backend server gets nothing, not null,
+ * positive
+ * @param slowStart the time over which a recovered backend server returns to its full
+ * limit, not null, positive
+ * @param adapterLoad the expected time to load an adapter, not null, positive
+ * @param decisionLogSize the decisions kept for explanations, at least 1
+ */
+public record TrafficTunables(int subsetSize, int queueLimit, double hedgeFraction, double retryFraction,
+		Duration peerAge, Duration suspicion, Duration slowStart, Duration adapterLoad, int decisionLogSize) {
+
+	/** The values used unless a deployment sets others. */
+	public static final TrafficTunables DEFAULTS = new TrafficTunables(24, 4000, 0.02, 0.1, Duration.ofSeconds(10),
+			Duration.ofSeconds(2), Duration.ofSeconds(10), Duration.ofMillis(10), 4096);
+
+	/**
+	 * Creates tunables.
+	 * @throws IllegalArgumentException if a figure is out of its range
+	 */
+	public TrafficTunables {
+		Objects.requireNonNull(peerAge, "peerAge");
+		Objects.requireNonNull(suspicion, "suspicion");
+		Objects.requireNonNull(slowStart, "slowStart");
+		Objects.requireNonNull(adapterLoad, "adapterLoad");
+		if (subsetSize < 2 || queueLimit < 1 || decisionLogSize < 1) {
+			throw new IllegalArgumentException("sizes of traffic tunables out of range");
+		}
+		if (!(hedgeFraction >= 0 && hedgeFraction <= 1) || !(retryFraction >= 0 && retryFraction <= 1)) {
+			throw new IllegalArgumentException("fractions of traffic tunables must be within 0 and 1");
+		}
+		if (!isPositive(peerAge) || !isPositive(suspicion) || !isPositive(slowStart) || !isPositive(adapterLoad)) {
+			throw new IllegalArgumentException("durations of traffic tunables must be positive");
+		}
+	}
+
+	private static boolean isPositive(Duration duration) {
+		return !duration.isNegative() && !duration.isZero();
+	}
+
+	/**
+	 * Returns a copy with another queue limit.
+	 * @param limit the requests that may wait for one organisation and class, at least 1
+	 * @return the copy, never null
+	 */
+	public TrafficTunables withQueueLimit(int limit) {
+		return new TrafficTunables(this.subsetSize, limit, this.hedgeFraction, this.retryFraction, this.peerAge,
+				this.suspicion, this.slowStart, this.adapterLoad, this.decisionLogSize);
+	}
+
+	/**
+	 * Returns a copy with another fraction of hedges.
+	 * @param fraction the hedges allowed per urgent request, from 0 to 1
+	 * @return the copy, never null
+	 */
+	public TrafficTunables withHedgeFraction(double fraction) {
+		return new TrafficTunables(this.subsetSize, this.queueLimit, fraction, this.retryFraction, this.peerAge,
+				this.suspicion, this.slowStart, this.adapterLoad, this.decisionLogSize);
+	}
+
+}
