Split the traffic controller and copy retried requests

Change: PendingRequest is copied for a retry; request table, outcome rule and request classifier are classes of their own.

--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -2,14 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 
 import org.celeryhill.base.AttemptId;
@@ -31,24 +29,12 @@
  */
 public final class DefaultTrafficController implements TrafficController {
 
-	/** Failures in a row after which a broken answer makes a backend server suspect. */
-	private static final int BROKEN_LIMIT = 2;
-
 	/** Retries that may be sent in one burst. */
 	private static final double RETRY_BURST = 10;
 
-	/** Requests with a failed attempt that are kept for a retry. */
-	private static final int FAILED_KEPT = 2000;
-
-	/** Weight of a new answer in the learned answer length. */
-	private static final double LEARNING_RATE = 0.05;
-
 	/** Time between computations of the own share, in nanoseconds. */
 	private static final long SHARE_PERIOD = 250_000_000L;
 
-	/** Tokens that a call of a plain service counts for. */
-	private static final int PLAIN_COST = 100;
-
 	/** Retry-After when nothing is known about the backlog. */
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -58,18 +44,8 @@
 	/** Services by backend server. */
 	private final Map<BackendServerId, ServicePool> poolsByBackend = new HashMap<>();
 
-	/** Requests that wait or run. */
-	private final Map<RequestId, PendingRequest> requests = new HashMap<>();
-
-	/** Attempts that run. */
-	private final Map<AttemptId, PendingRequest.Attempt> attempts = new HashMap<>();
-
-	/** Requests whose attempts have failed, for a retry; the oldest is dropped. */
-	private final Map<RequestId, PendingRequest> failed = new LinkedHashMap<>();
-
-	/** Waiting requests by deadline; those already sent are skipped when they surface. */
-	private final PriorityQueue<PendingRequest> deadlines = new PriorityQueue<>(
-			Comparator.<PendingRequest>comparingLong((one) -> one.deadline).thenComparingLong((one) -> one.sequence));
+	/** Requests and attempts. */
+	private final RequestTable table = new RequestTable();
 
 	/** Tunables. */
 	private final TrafficTunables tunables;
@@ -194,54 +170,28 @@
 	@Override
 	public Optional<TrafficAction.Refuse> offer(TrafficRequest request, long now) {
 		Objects.requireNonNull(request, "request");
-		if (this.requests.containsKey(request.id()) || this.failed.containsKey(request.id())) {
+		if (this.table.isKnown(request.id())) {
 			throw new IllegalArgumentException("request is already known: " + request.id());
 		}
 		ServicePool pool = this.pools.get(request.service());
-		FlowQueue flow = flow(pool, request);
+		FlowQueue flow = RequestClassifier.flow(pool, request);
 		if (flow == null) {
 			return refuse(request.id(), TrafficAction.Reason.NOT_CONFIGURED, DEFAULT_RETRY_AFTER, now);
 		}
 		if (!pool.backends().iterator().hasNext()) {
 			return refuse(request.id(), TrafficAction.Reason.NO_BACKEND, DEFAULT_RETRY_AFTER, now);
 		}
-		PendingRequest pending = new PendingRequest(request, flow, flow.parent.target, this.requestCount++,
-				cost(pool, flow, request));
+		long deadline = request.arrivedNanos() + flow.parent.target.deadline().toNanos();
+		PendingRequest pending = new PendingRequest(request, flow, this.requestCount++,
+				RequestClassifier.cost(pool, flow, request), deadline);
 		Optional<TrafficAction.Reason> reason = this.admission.check(pool, pending, now);
 		if (reason.isPresent()) {
 			return refuse(request.id(), reason.get(), this.admission.retryAfter(pool, flow.parent, now), now);
 		}
-		enqueue(pending, false);
+		this.table.enqueue(pending, false);
 		return Optional.empty();
 	}
 
-	private static FlowQueue flow(ServicePool pool, TrafficRequest request) {
-		if (pool == null || pool.template == null) {
-			return null;
-		}
-		OrganisationQueue organisation = pool.queue.find(request.organisation());
-		if (organisation == null || !organisation.allowed.contains(request.priority())) {
-			return null;
-		}
-		ModelRoute route = pool.route(organisation, request);
-		return (route != null) ? organisation.classes[request.priority().ordinal()].flow(route) : null;
-	}
-
-	private static int cost(ServicePool pool, FlowQueue flow, TrafficRequest request) {
-		if (pool.isPlain()) {
-			return PLAIN_COST;
-		}
-		double answer = request.maxTokens() * flow.parent.outputPart;
-		return Math.max(1, request.promptTokens() + (int) Math.ceil(answer));
-	}
-
-	private void enqueue(PendingRequest pending, boolean isFirst) {
-		pending.state = PendingRequest.State.QUEUED;
-		this.requests.put(pending.request.id(), pending);
-		this.deadlines.add(pending);
-		pending.flow.add(pending, isFirst);
-	}
-
 	private Optional<TrafficAction.Refuse> refuse(RequestId id, TrafficAction.Reason reason, Duration retryAfter,
 			long now) {
 		this.log.add(id, now, "refuse", reason, retryAfter.toMillis());
@@ -261,16 +211,10 @@
 	}
 
 	private void expire(long now, List<TrafficAction> actions) {
-		while (!this.deadlines.isEmpty()) {
-			PendingRequest pending = this.deadlines.peek();
-			boolean isWaiting = pending.state == PendingRequest.State.QUEUED;
-			if (isWaiting && pending.deadline > now) {
-				return;
-			}
-			this.deadlines.poll();
-			if (isWaiting) {
-				expire(pending, now, actions);
-			}
+		PendingRequest pending = this.table.nextExpired(now);
+		while (pending != null) {
+			expire(pending, now, actions);
+			pending = this.table.nextExpired(now);
 		}
 	}
 
@@ -280,8 +224,7 @@
 		boolean hasBackend = pool.isReachable(pending.flow.route);
 		TrafficAction.Reason reason = hasBackend ? TrafficAction.Reason.DEADLINE : TrafficAction.Reason.NO_BACKEND;
 		Duration retryAfter = this.admission.retryAfter(pool, queue, now);
-		this.requests.remove(pending.request.id());
-		pending.flow.remove(pending);
+		this.table.dequeue(pending);
 		actions.add(refuse(pending.request.id(), reason, retryAfter, now).get());
 	}
 
@@ -304,37 +247,38 @@
 	private void dispatch(ServicePool pool, long now, List<TrafficAction> actions) {
 		FlowQueue flow = pool.queue.next(now);
 		while (flow != null) {
-			PendingRequest pending = flow.peek();
 			if (flow.parent.organisation.allowed.isEmpty()) {
-				flow.remove(pending);
-				this.requests.remove(pending.request.id());
-				actions.add(refuse(pending.request.id(), TrafficAction.Reason.NOT_CONFIGURED, DEFAULT_RETRY_AFTER, now)
-					.get());
+				actions.add(drop(flow.peek(), now));
 			}
 			else {
-				BackendState backend = flow.route.isBlocked(flow.priority()) ? null
-						: this.router.choose(pool, pending, this.share, false, now);
-				if (backend == null) {
-					flow.block();
-				}
-				else {
-					flow.take();
-					actions.add(send(pool, pending, backend, false, now));
-				}
+				sendFirst(pool, flow, now, actions);
 			}
 			flow = pool.queue.next(now);
 		}
 	}
 
+	private TrafficAction drop(PendingRequest pending, long now) {
+		this.table.dequeue(pending);
+		return refuse(pending.request.id(), TrafficAction.Reason.NOT_CONFIGURED, DEFAULT_RETRY_AFTER, now).get();
+	}
+
+	private void sendFirst(ServicePool pool, FlowQueue flow, long now, List<TrafficAction> actions) {
+		boolean isBlocked = flow.route.isBlocked(flow.priority());
+		BackendState backend = isBlocked ? null : this.router.choose(pool, flow.peek(), this.share, false, now);
+		if (backend == null) {
+			flow.block();
+			return;
+		}
+		actions.add(send(pool, flow.take(), backend, false, now));
+	}
+
 	private TrafficAction.Send send(ServicePool pool, PendingRequest pending, BackendState backend, boolean isHedge,
 			long now) {
 		AttemptId id = AttemptId.of(this.attemptPrefix + this.attemptCount++);
 		int prefill = pool.isPlain() ? 1 : this.router.prefill();
 		PendingRequest.Attempt attempt = new PendingRequest.Attempt(id, pending, backend, now,
 				this.router.units(backend), prefill);
-		this.attempts.put(id, attempt);
-		backend.add(attempt);
-		pending.running++;
+		this.table.add(attempt);
 		if (!pool.isPlain() && pending.flow.route.base != null) {
 			backend.expectAdapter(pending.flow.route.model, now);
 		}
@@ -378,7 +322,7 @@
 
 	@Override
 	public void progress(AttemptId id, int tokens, long now) {
-		PendingRequest.Attempt attempt = this.attempts.get(id);
+		PendingRequest.Attempt attempt = this.table.attempt(id);
 		if (attempt == null || tokens <= attempt.tokens) {
 			return;
 		}
@@ -396,58 +340,16 @@
 
 	@Override
 	public void finish(AttemptId id, AttemptOutcome outcome, long now) {
-		PendingRequest.Attempt attempt = this.attempts.remove(id);
+		PendingRequest.Attempt attempt = this.table.attempt(id);
 		if (attempt == null) {
 			return;
 		}
-		PendingRequest pending = attempt.pending;
-		ServicePool pool = this.pools.get(pending.request.service());
-		attempt.isEnded = true;
-		attempt.backend.remove(attempt);
-		pending.running--;
-		judge(pool, attempt, outcome, now);
-		settle(pending, outcome);
+		RequestId request = attempt.pending.request.id();
+		ServicePool pool = this.pools.get(attempt.pending.request.service());
+		this.table.end(attempt, outcome);
+		OutcomeRule.learn(pool, attempt, outcome, now);
 		release(pool, attempt.backend, now);
-		this.log.add(pending.request.id(), now, "finish", outcome, (now - attempt.sent) / 1e6);
-	}
-
-	private void judge(ServicePool pool, PendingRequest.Attempt attempt, AttemptOutcome outcome, long now) {
-		BackendState backend = attempt.backend;
-		if (outcome == AttemptOutcome.COMPLETED) {
-			backend.failures = 0;
-			learn(attempt);
-		}
-		else if (outcome != AttemptOutcome.CANCELLED) {
-			attempt.pending.avoid(backend.id);
-		}
-		if (outcome.isSuspicious()) {
-			backend.failures++;
-			if (outcome == AttemptOutcome.UNREACHABLE || backend.failures >= BROKEN_LIMIT) {
-				pool.suspect(backend, now);
-			}
-		}
-	}
-
-	private static void learn(PendingRequest.Attempt attempt) {
-		int max = attempt.pending.request.maxTokens();
-		if (max > 0 && attempt.tokens > 0) {
-			ClassQueue queue = attempt.pending.flow.parent;
-			double part = Math.min(1, (double) attempt.tokens / max);
-			queue.outputPart += LEARNING_RATE * (part - queue.outputPart);
-		}
-	}
-
-	private void settle(PendingRequest pending, AttemptOutcome outcome) {
-		if (pending.running > 0) {
-			return;
-		}
-		this.requests.remove(pending.request.id());
-		if (outcome != AttemptOutcome.COMPLETED && outcome != AttemptOutcome.CANCELLED) {
-			this.failed.put(pending.request.id(), pending);
-			if (this.failed.size() > FAILED_KEPT) {
-				this.failed.remove(this.failed.keySet().iterator().next());
-			}
-		}
+		this.log.add(request, now, "finish", outcome, (now - attempt.sent) / 1e6);
 	}
 
 	private void release(ServicePool pool, BackendState backend, long now) {
@@ -458,39 +360,40 @@
 
 	@Override
 	public Optional<TrafficAction.Refuse> retry(TrafficRequest request, AttemptId ended, long now) {
-		PendingRequest running = this.requests.get(request.id());
-		if (running != null) {
+		if (this.table.find(request.id()) != null) {
+			// Another attempt of the request runs, so its answer can still come.
 			return Optional.empty();
 		}
-		PendingRequest pending = this.failed.remove(request.id());
-		if (!request.isIdempotent() || pending == null || !pending.request.isIdempotent() || !this.retries.take()) {
+		PendingRequest pending = this.table.takeFailed(request.id());
+		boolean isRepeatable = pending != null && pending.request.isIdempotent() && request.isIdempotent();
+		if (!isRepeatable || !this.retries.take()) {
 			return refuse(request.id(), TrafficAction.Reason.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER, now);
 		}
+		return requeue(pending, request, ended, now);
+	}
+
+	private Optional<TrafficAction.Refuse> requeue(PendingRequest pending, TrafficRequest request, AttemptId ended,
+			long now) {
 		ServicePool pool = this.pools.get(request.service());
-		if (pending.isAnswering) {
-			pending.deadline = now + pending.target.deadline().toNanos();
-		}
 		if (pool.isExhausted(pending)) {
 			return refuse(request.id(), TrafficAction.Reason.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER, now);
 		}
-		if (now >= pending.deadline) {
+		PendingRequest next = pending.again(request, RequestClassifier.cost(pool, pending.flow, request), now);
+		if (now >= next.deadline) {
 			return refuse(request.id(), TrafficAction.Reason.DEADLINE,
 					this.admission.retryAfter(pool, pending.flow.parent, now), now);
 		}
-		pending.request = request;
-		pending.cost = cost(pool, pending.flow, request);
-		enqueue(pending, true);
+		this.table.enqueue(next, true);
 		this.log.add(request.id(), now, "retry", ended, 0);
 		return Optional.empty();
 	}
 
 	@Override
 	public void cancel(RequestId request) {
-		this.failed.remove(request);
-		PendingRequest pending = this.requests.get(request);
+		this.table.takeFailed(request);
+		PendingRequest pending = this.table.find(request);
 		if (pending != null && pending.state == PendingRequest.State.QUEUED) {
-			pending.flow.remove(pending);
-			this.requests.remove(request);
+			this.table.dequeue(pending);
 		}
 	}
 
@@ -516,8 +419,8 @@
 		tree.put("share", this.share);
 		tree.put("peers", this.usage.peerCount());
 		tree.put("retry_permits", this.retries.permits());
-		tree.put("attempts", this.attempts.size());
-		tree.put("requests", this.requests.size());
+		tree.put("attempts", this.table.attemptCount());
+		tree.put("requests", this.table.requestCount());
 		Map<String, Object> services = new LinkedHashMap<>();
 		this.pools.forEach((id, pool) -> services.put(id.value(), StateDump.toTree(pool)));
 		tree.put("services", services);
--- a/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
@@ -13,7 +13,7 @@
 final class PendingRequest {
 
 	/** Request as last offered. */
-	TrafficRequest request;
+	final TrafficRequest request;
 
 	/** Queue of its organisation, class and model. */
 	final FlowQueue flow;
@@ -25,10 +25,10 @@
 	final long sequence;
 
 	/** Estimated tokens of prompt and answer. */
-	int cost;
+	final int cost;
 
 	/** When it is refused unless it has been sent, in nanoseconds. */
-	long deadline;
+	final long deadline;
 
 	/** State in the queue. */
 	State state = State.QUEUED;
@@ -39,6 +39,9 @@
 	/** Whether a hedge was sent. */
 	boolean isHedged;
 
+	/** Whether an attempt completed or was cancelled. */
+	boolean isDone;
+
 	/** Attempts running now. */
 	int running;
 
@@ -49,20 +52,37 @@
 	private List<BackendServerId> avoided = List.of();
 
 	/**
-	 * Creates a waiting request.
+	 * Creates a request.
 	 * @param request the request
 	 * @param flow the queue
-	 * @param target the targets
 	 * @param sequence the position in the order of arrival
 	 * @param cost the estimated tokens
+	 * @param deadline when it is refused unless it has been sent, in nanoseconds
 	 */
-	PendingRequest(TrafficRequest request, FlowQueue flow, ClassTarget target, long sequence, int cost) {
+	PendingRequest(TrafficRequest request, FlowQueue flow, long sequence, int cost, long deadline) {
 		this.request = request;
 		this.flow = flow;
-		this.target = target;
+		this.target = flow.parent.target;
 		this.sequence = sequence;
 		this.cost = cost;
-		this.deadline = request.arrivedNanos() + target.deadline().toNanos();
+		this.deadline = deadline;
+	}
+
+	/**
+	 * Returns the request for another attempt. A copy is needed because the deadline is a
+	 * key of the deadline queue, where the former entry may still be.
+	 * @param next the request with what has been delivered so far
+	 * @param nextCost the estimated tokens
+	 * @param now the time in nanoseconds
+	 * @return the copy; its deadline starts anew if an answer had begun
+	 */
+	PendingRequest again(TrafficRequest next, int nextCost, long now) {
+		long until = this.isAnswering ? now + this.target.deadline().toNanos() : this.deadline;
+		PendingRequest copy = new PendingRequest(next, this.flow, this.sequence, nextCost, until);
+		copy.isSent = true;
+		copy.isHedged = this.isHedged;
+		copy.avoided = this.avoided;
+		return copy;
 	}
 
 	/**
