--- a/traffic/src/main/java/org/celeryhill/traffic/AdmissionRule.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/AdmissionRule.java
@@ -13,6 +13,13 @@
 	/** Waiting requests of a class below which none is refused for its deadline. */
 	private static final int MIN_WAITING = 4;
 
+	/**
+	 * Time for which requests must have been waiting before one is refused for its
+	 * deadline, in nanoseconds. The rate of an idle class says nothing about a burst that
+	 * has not been dispatched yet.
+	 */
+	private static final long MIN_BACKLOG = 100_000_000L;
+
 	/** Shortest Retry-After. */
 	private static final double MIN_RETRY_SECONDS = 1;
 
@@ -45,7 +52,8 @@
 		if (now >= pending.deadline) {
 			return Optional.of(TrafficAction.Reason.DEADLINE);
 		}
-		if (queue.count() >= MIN_WAITING && now + waitSeconds(pool, queue, now) * 1e9 > pending.deadline) {
+		boolean isBacklogged = queue.count() >= MIN_WAITING && now - queue.backloggedSince() >= MIN_BACKLOG;
+		if (isBacklogged && now + waitSeconds(pool, queue, now) * 1e9 > pending.deadline) {
 			return Optional.of(TrafficAction.Reason.DEADLINE);
 		}
 		return Optional.empty();
--- a/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
@@ -44,6 +44,9 @@
 	/** Waiting requests. */
 	private int count;
 
+	/** Arrival of the request that ended the last time without waiting requests. */
+	private long backloggedSince;
+
 	/** Estimated tokens of the waiting requests. */
 	private long tokens;
 
@@ -102,6 +105,7 @@
 	 */
 	void added(PendingRequest pending) {
 		if (this.count == 0) {
+			this.backloggedSince = pending.request.arrivedNanos();
 			this.organisation.activated(this);
 		}
 		this.count++;
@@ -153,6 +157,14 @@
 		return this.tokens;
 	}
 
+	/**
+	 * Returns since when requests have been waiting without a break.
+	 * @return the time in nanoseconds, meaningless if none waits
+	 */
+	long backloggedSince() {
+		return this.backloggedSince;
+	}
+
 	/**
 	 * Returns how long the first ready request has waited relative to its target.
 	 * @param now the time in nanoseconds
