--- /dev/null
+++ b/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
@@ -0,0 +1,209 @@
+package org.celeryhill.measure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.base.RequestId;
+import org.celeryhill.base.UsageTotals;
+import org.celeryhill.config.ModelSpec;
+import org.celeryhill.config.OrganisationParameters;
+import org.celeryhill.config.Revision;
+import org.celeryhill.port.Engine;
+import org.celeryhill.traffic.AttemptOutcome;
+import org.celeryhill.traffic.BackendView;
+import org.celeryhill.traffic.TrafficAction;
+import org.celeryhill.traffic.TrafficController;
+import org.celeryhill.traffic.TrafficRequest;
+
+/**
+ * Baseline: requests are sent in order of arrival, each to the server with the fewest
+ * outstanding requests of this host among those that hold the model. There is no class,
+ * no organisation and no limit; only a request that finds no server waits. Not
+ * thread-safe.
+ */
+final class LeastOutstandingController implements TrafficController {
+
+	/** Retry-After of every refusal. */
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+	/** Host. */
+	private final HostId host;
+
+	/** Data centre of the host. */
+	private final DataCentre dataCentre;
+
+	/** Servers by id. */
+	private final Map<BackendServerId, BackendView> servers = new LinkedHashMap<>();
+
+	/** Outstanding requests by server. */
+	private final Map<BackendServerId, Integer> outstanding = new HashMap<>();
+
+	/** Servers by attempt. */
+	private final Map<AttemptId, BackendServerId> attempts = new HashMap<>();
+
+	/** Requests that wait, in order of arrival. */
+	private final Map<RequestId, TrafficRequest> waiting = new LinkedHashMap<>();
+
+	/** Base models by adapter. */
+	private final Map<ModelId, ModelId> bases = new HashMap<>();
+
+	/** Configuration. */
+	private Revision revision = Revision.EMPTY;
+
+	/** Attempts so far. */
+	private long count;
+
+	LeastOutstandingController(HostId host, DataCentre dataCentre) {
+		this.host = host;
+		this.dataCentre = dataCentre;
+	}
+
+	@Override
+	public void apply(Revision next, long now) {
+		this.revision = next;
+		for (OrganisationParameters parameters : next.organisations()) {
+			for (ModelSpec spec : parameters.models()) {
+				spec.base().ifPresent((base) -> this.bases.put(spec.id(), base));
+			}
+		}
+	}
+
+	@Override
+	public void observe(BackendView view, long now) {
+		this.servers.put(view.id(), view);
+	}
+
+	@Override
+	public void forget(BackendServerId backend) {
+		this.servers.remove(backend);
+	}
+
+	@Override
+	public void observeCache(BackendServerId backend, List<Engine.CacheEvent> events) {
+	}
+
+	@Override
+	public Optional<TrafficAction.Refuse> offer(TrafficRequest request, long now) {
+		this.waiting.put(request.id(), request);
+		return Optional.empty();
+	}
+
+	@Override
+	public List<TrafficAction> dispatch(long now) {
+		List<TrafficAction> actions = new ArrayList<>();
+		for (TrafficRequest request : List.copyOf(this.waiting.values())) {
+			BackendServerId server = choose(request);
+			if (server != null) {
+				actions.add(send(request, server));
+			}
+			else if (now >= deadline(request)) {
+				actions.add(new TrafficAction.Refuse(request.id(), TrafficAction.Reason.NO_BACKEND, RETRY_AFTER));
+			}
+		}
+		actions.forEach((action) -> this.waiting.remove(action.request()));
+		return actions;
+	}
+
+	private long deadline(TrafficRequest request) {
+		return request.arrivedNanos() + this.revision.template(request.service())
+			.orElseThrow()
+			.classes()
+			.get(request.priority())
+			.deadline()
+			.toNanos();
+	}
+
+	private BackendServerId choose(TrafficRequest request) {
+		BackendServerId best = null;
+		int least = Integer.MAX_VALUE;
+		for (BackendView view : this.servers.values()) {
+			if (!isCandidate(view, request)) {
+				continue;
+			}
+			int count = this.outstanding.getOrDefault(view.id(), 0);
+			if (count < least) {
+				best = view.id();
+				least = count;
+			}
+		}
+		return best;
+	}
+
+	private boolean isCandidate(BackendView view, TrafficRequest request) {
+		if (!view.service().equals(request.service()) || !view.isReachable() || view.isLeaving()) {
+			return false;
+		}
+		if (view.report().isEmpty()) {
+			return this.outstanding.getOrDefault(view.id(), 0) + Math.max(0, view.running()) < view.capacity();
+		}
+		ModelId model = request.model().orElseThrow();
+		return !view.report().get().isLeaving() && view.report().get().isReady(this.bases.getOrDefault(model, model));
+	}
+
+	private TrafficAction.Send send(TrafficRequest request, BackendServerId server) {
+		AttemptId attempt = AttemptId.of(this.host.value() + "." + this.count++);
+		this.attempts.put(attempt, server);
+		this.outstanding.merge(server, 1, Integer::sum);
+		return new TrafficAction.Send(request.id(), attempt, server, false);
+	}
+
+	@Override
+	public void progress(AttemptId attempt, int tokens, long now) {
+	}
+
+	@Override
+	public void finish(AttemptId attempt, AttemptOutcome outcome, long now) {
+		BackendServerId server = this.attempts.remove(attempt);
+		if (server != null) {
+			this.outstanding.merge(server, -1, Integer::sum);
+			if (outcome.isSuspicious()) {
+				this.servers.remove(server);
+			}
+		}
+	}
+
+	@Override
+	public Optional<TrafficAction.Refuse> retry(TrafficRequest request, AttemptId failed, long now) {
+		if (!request.isIdempotent()) {
+			return Optional
+				.of(new TrafficAction.Refuse(request.id(), TrafficAction.Reason.RETRIES_EXHAUSTED, RETRY_AFTER));
+		}
+		this.waiting.put(request.id(), request);
+		return Optional.empty();
+	}
+
+	@Override
+	public void cancel(RequestId request) {
+		this.waiting.remove(request);
+	}
+
+	@Override
+	public UsageTotals usage(long now) {
+		return new UsageTotals(this.host, this.dataCentre, "1", 1, Map.of());
+	}
+
+	@Override
+	public void observePeer(UsageTotals totals, long now) {
+	}
+
+	@Override
+	public List<String> explain(RequestId request) {
+		return List.of();
+	}
+
+	@Override
+	public Map<String, Object> dump() {
+		return Map.of("waiting", this.waiting.size());
+	}
+
+}
--- /dev/null
+++ b/measure/src/main/java/org/celeryhill/measure/MeasureCommand.java
@@ -0,0 +1,102 @@
+package org.celeryhill.measure;
+
+import java.io.PrintWriter;
+import java.util.Locale;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * Command line of the measurements. Not thread-safe.
+ */
+@Command(name = "measure", description = "Measures traffic and placement decisions in virtual time.",
+		mixinStandardHelpOptions = true)
+public final class MeasureCommand {
+
+	/** Exit code of a run that broke an invariant or missed a target. */
+	private static final int FAILED = 1;
+
+	/** Command line. */
+	@Spec
+	private CommandSpec spec;
+
+	/**
+	 * Runs the command line and exits.
+	 * @param arguments the arguments, not null
+	 */
+	public static void main(String[] arguments) {
+		System.exit(commandLine().execute(arguments));
+	}
+
+	static CommandLine commandLine() {
+		return new CommandLine(new MeasureCommand()).setCaseInsensitiveEnumValuesAllowed(true);
+	}
+
+	private void print(Object value, Format format) throws JsonProcessingException {
+		PrintWriter out = this.spec.commandLine().getOut();
+		ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+		out.println((format == Format.JSON) ? mapper.writeValueAsString(value) : TextReport.of(value));
+		out.flush();
+	}
+
+	/**
+	 * Lists the scenarios.
+	 * @return 0
+	 */
+	@Command(name = "list", description = "Lists scenarios and policies.")
+	int list() {
+		PrintWriter out = this.spec.commandLine().getOut();
+		for (Scenario scenario : Scenario.values()) {
+			out.printf(Locale.ROOT, "%-20s load %.2f, %.0f s%n", scenario.toLabel(), scenario.load, scenario.seconds);
+		}
+		out.flush();
+		return 0;
+	}
+
+	/**
+	 * Runs one scenario.
+	 * @param name the scenario
+	 * @param seed the seed
+	 * @param deployment the deployment
+	 * @param policy the policy
+	 * @param load the load relative to the capacity, 0 for that of the scenario
+	 * @param format the output format
+	 * @return 0, or 1 if an invariant was broken
+	 * @throws JsonProcessingException if the result cannot be written
+	 */
+	@Command(name = "run", description = "Runs one scenario.")
+	int run(@Parameters(paramLabel = "NAME", description = "scenario, see 'list'") String name,
+			@Option(names = "--seed", defaultValue = "1", description = "seed") long seed,
+			@Option(names = "--deployment", defaultValue = "cooperative",
+					description = "${COMPLETION-CANDIDATES}") Deployment deployment,
+			@Option(names = "--policy", defaultValue = "celeryhill",
+					description = "${COMPLETION-CANDIDATES}") Policy policy,
+			@Option(names = "--load", defaultValue = "0",
+					description = "load relative to the capacity, 0 for that of the scenario") double load,
+			@Option(names = "--output", defaultValue = "text", description = "${COMPLETION-CANDIDATES}") Format format)
+			throws JsonProcessingException {
+		Scenario scenario = Scenario.parse(name);
+		Figures figures = new Simulation(deployment, scenario, policy, (load > 0) ? load : scenario.load, seed).run();
+		print(figures, format);
+		return figures.isViolated() ? FAILED : 0;
+	}
+
+	/** Output formats. */
+	enum Format {
+
+		/** For programs. */
+		JSON,
+
+		/** For readers. */
+		TEXT
+
+	}
+
+}
--- /dev/null
+++ b/measure/src/main/java/org/celeryhill/measure/TextReport.java
@@ -0,0 +1,41 @@
+package org.celeryhill.measure;
+
+import java.util.Map;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Indented text of a tree of figures.
+ */
+final class TextReport {
+
+	private TextReport() {
+	}
+
+	/**
+	 * Returns the text of a value.
+	 * @param value a value that Jackson can convert to a tree
+	 * @return one line per leaf
+	 */
+	static String of(Object value) {
+		Map<String, Object> tree = new ObjectMapper().convertValue(value, new TypeReference<>() {
+		});
+		StringBuilder text = new StringBuilder();
+		append(text, tree, "");
+		return text.toString();
+	}
+
+	private static void append(StringBuilder text, Map<?, ?> tree, String indent) {
+		tree.forEach((key, value) -> {
+			if (value instanceof Map<?, ?> inner && inner.values().stream().anyMatch(Map.class::isInstance)) {
+				text.append(indent).append(key).append(":\n");
+				append(text, inner, indent + "  ");
+			}
+			else {
+				text.append(indent).append(key).append(": ").append(value).append('\n');
+			}
+		});
+	}
+
+}
