Let urgent requests exceed the limit of an engine for a while

Cause: under load urgent requests waited 200 ms at the median, because batch could fill 88% of a limit that is divided among six daemons; an urgent request then waited for one of its own daemon's few attempts to end.

Change: while urgent requests are common, batch fills 80% and normal 90% of a limit, and urgent may exceed it by a quarter; the limit adapts to the time between tokens as before.

--- a/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
@@ -21,8 +21,12 @@
 	/** Part of the KV cache that is never planned for, against wrong estimates. */
 	private static final double HARD_PART = 0.95;
 
-	/** Part of the limit that each class may fill, so that urgent requests find room. */
-	private static final double[] CLASS_PART = { 1.0, 0.95, 0.88 };
+	/**
+	 * Part of the limit that each class may fill while urgent requests are common. Urgent
+	 * ones may exceed it: the limits are divided among the daemons, so an urgent request
+	 * would otherwise wait for one of the few attempts of its own daemon to end.
+	 */
+	private static final double[] CLASS_PART = { 1.25, 0.9, 0.8 };
 
 	/** Part of the limit at the begin of a slow start. */
 	private static final double SLOW_START_PART = 0.2;
@@ -263,11 +267,12 @@
 	 * @param units the units it takes
 	 * @param priority the class
 	 * @param share the part of the limit that this daemon is entitled to
+	 * @param urgency how common urgent requests are, from 0 to 1
 	 * @param now the time in nanoseconds
 	 * @return true if it may be sent
 	 */
-	boolean hasRoom(long units, PriorityClass priority, double share, long now) {
-		double part = CLASS_PART[priority.ordinal()] * slowStartPart(now);
+	boolean hasRoom(long units, PriorityClass priority, double share, double urgency, long now) {
+		double part = (1 + (CLASS_PART[priority.ordinal()] - 1) * urgency) * slowStartPart(now);
 		double max = maximum() * part;
 		long total = this.othersUnits + this.ownUnits;
 		if (this.ownCount > 0 && total + units > hardMaximum()) {
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -295,7 +295,7 @@
 	private void account(ServicePool pool, PendingRequest pending, boolean isHedge, long now) {
 		FlowQueue flow = pending.flow;
 		pool.queue.charge(flow, pending.cost);
-		pool.rate.add(pending.cost, now);
+		pool.sent(flow.priority(), pending.cost, now);
 		flow.parent.rate.add(pending.cost, now);
 		this.usage.add(flow.parent.key, pending.cost, now);
 		if (!pending.isSent && !isHedge) {
--- a/traffic/src/main/java/org/celeryhill/traffic/Router.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/Router.java
@@ -48,6 +48,9 @@
 	/** Part of each limit that the daemon is entitled to. */
 	private double share;
 
+	/** How common urgent requests are, from 0 to 1. */
+	private double urgency;
+
 	/** Whether the comparison is for a hedge. */
 	private boolean isHedge;
 
@@ -78,6 +81,7 @@
 		this.pending = request;
 		this.share = part;
 		this.isHedge = hedge;
+		this.urgency = pool.urgency(now);
 		this.best = null;
 		this.bestSeconds = Double.MAX_VALUE;
 		ModelRoute route = request.flow.route;
@@ -135,7 +139,7 @@
 			return;
 		}
 		int units = units(one);
-		if (!one.hasRoom(units, this.pending.flow.priority(), part, now)) {
+		if (!one.hasRoom(units, this.pending.flow.priority(), part, this.urgency, now)) {
 			return;
 		}
 		int prefill = Math.max(1, this.pending.request.promptTokens() - this.prefixes.cachedTokens(one));
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -21,12 +21,18 @@
  */
 final class ServicePool {
 
+	/** Inverse of the part of the tokens from which urgent requests count as common. */
+	private static final double URGENT_COMMON = 10;
+
 	/** Queue of the waiting requests. */
 	final FairQueue queue = new FairQueue();
 
 	/** Rate at which requests were sent, in estimated tokens a second. */
 	final RateEstimate rate = new RateEstimate();
 
+	/** Rate of the urgent class, in estimated tokens a second. */
+	final RateEstimate urgentRate = new RateEstimate();
+
 	/** Template in force. */
 	ServiceTemplate template;
 
@@ -105,6 +111,29 @@
 		return route;
 	}
 
+	/**
+	 * Counts a request that is sent.
+	 * @param priority the class
+	 * @param cost the estimated tokens
+	 * @param now the time in nanoseconds
+	 */
+	void sent(PriorityClass priority, int cost, long now) {
+		this.rate.add(cost, now);
+		if (priority == PriorityClass.URGENT) {
+			this.urgentRate.add(cost, now);
+		}
+	}
+
+	/**
+	 * Returns how common urgent requests are.
+	 * @param now the time in nanoseconds
+	 * @return 0 without urgent requests, 1 from a tenth of the tokens on
+	 */
+	double urgency(long now) {
+		double all = this.rate.perSecond(now);
+		return (all > 0) ? Math.min(1, URGENT_COMMON * this.urgentRate.perSecond(now) / all) : 0;
+	}
+
 	/**
 	 * Returns the route of a request.
 	 * @param organisation the organisation
