Record removals together with the engine that keeps the model

Cause: a planner that pauses after it has checked its lease can record an unload of the replica that a later holder relies on, since the rows of two engines change independently; the model would be unreachable. Change: recordRemoval writes the rows of both engines in one transaction, so that the older planner's write finds its row changed. The rows of a process move to LedgerRows.

--- a/state/src/main/java/org/celeryhill/state/CommandLedger.java
+++ b/state/src/main/java/org/celeryhill/state/CommandLedger.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 
@@ -18,8 +17,6 @@
 import org.celeryhill.port.EngineCommand;
 import org.celeryhill.port.EngineReport;
 import org.celeryhill.port.Row;
-import org.celeryhill.port.RowKey;
-import org.celeryhill.port.RowWrite;
 import org.celeryhill.port.TableService;
 
 /**
@@ -58,14 +55,15 @@
 	/** How long copies of a command may travel. */
 	private final Duration copyBound;
 
-	/** What this process has seen and not yet written, by engine. */
-	private final Map<BackendServerId, LedgerMemory> memories = new ConcurrentHashMap<>();
+	/** Rows of the ledgers. */
+	private final LedgerRows rows;
 
 	private CommandLedger(ConditionalWriter writer, TimerService timer, HostId host, Duration copyBound) {
 		this.writer = Objects.requireNonNull(writer, "writer");
 		this.timer = Objects.requireNonNull(timer, "timer");
 		this.copyBound = Objects.requireNonNull(copyBound, "copyBound");
 		this.sender = new SenderId(host, writer.nextAttempt());
+		this.rows = new LedgerRows(writer, timer, this.sender);
 	}
 
 	/**
@@ -101,13 +99,73 @@
 			throw new IllegalArgumentException("command " + command.attempt() + " has another token than the lease");
 		}
 		return admit(lease, command, (ledger) -> {
-			if (!isNewer(ledger, report, requestedNanos)) {
+			if (!this.rows.isNewer(ledger, report, requestedNanos)) {
 				return new EngineLedger.Denied(EngineLedger.Reason.STALE_REPORT, report.incarnation());
 			}
 			return ledger.settled(report).admit(command, report, this.sender);
 		});
 	}
 
+	/**
+	 * Records an unload of a model that another engine keeps. Both rows are written in
+	 * one transaction, so that a planner that is paused past its lease cannot unload the
+	 * replica that the keeper has: its own write finds the row changed. Otherwise as for
+	 * {@link #record}; an unload of a model that need not stay reachable is recorded with
+	 * that method.
+	 * @param lease the lease of the engine's group, not null
+	 * @param command the unload with the token of the lease, not null
+	 * @param report the report of the engine that unloads, not null
+	 * @param keeper the report of another engine on which the model is ready, not null
+	 * @param requestedNanos when the earlier of the two reports was asked for, on the
+	 * monotonic clock of this process, in nanoseconds
+	 * @return the result
+	 * @throws IllegalArgumentException if the token is not that of the lease, the command
+	 * is not an unload, or the keeper is the engine itself
+	 */
+	public RecordResult recordRemoval(Lease lease, EngineCommand command, EngineReport report, EngineReport keeper,
+			long requestedNanos) {
+		boolean isOtherEngine = !keeper.engine().equals(command.engine());
+		if (!command.token().equals(lease.token()) || !command.action().isUnload() || !isOtherEngine) {
+			throw new IllegalArgumentException("not a removal that another engine can replace: " + command);
+		}
+		for (int turn = 0; turn < MAX_TURNS; turn++) {
+			if (!lease.isUsable(this.timer.nanoTime())) {
+				return new Refused(EngineLedger.Reason.LEASE_EXPIRED, lease.name().value());
+			}
+			LedgerRows.Loading removing = this.rows.read(command.engine());
+			LedgerRows.Loading keeping = this.rows.read(keeper.engine());
+			Optional<StoreUnavailable> unread = removing.failure().or(keeping::failure);
+			if (unread.isPresent()) {
+				return unread.get();
+			}
+			if (turn > 0 && isRecorded(removing.ledger(), command)) {
+				this.rows.memory(command.engine()).reopen(command.attempt());
+				return new Recorded(command);
+			}
+			boolean isNewer = this.rows.isNewer(removing.prepared(), report, requestedNanos)
+					&& this.rows.isNewer(keeping.prepared(), keeper, requestedNanos);
+			if (!isNewer) {
+				return new Refused(EngineLedger.Reason.STALE_REPORT, report.incarnation());
+			}
+			EngineLedger.Admission kept = keeping.prepared().settled(keeper).keep(command, keeper);
+			EngineLedger.Admission admission = removing.prepared().settled(report).admit(command, report, this.sender);
+			if (kept instanceof EngineLedger.Denied denied) {
+				return new Refused(denied.reason(), denied.detail());
+			}
+			if (admission instanceof EngineLedger.Denied denied) {
+				return new Refused(denied.reason(), denied.detail());
+			}
+			ConditionalWriter.Outcome outcome = this.rows.write(
+					new LedgerRows.Change(removing, ((EngineLedger.Admitted) admission).ledger()),
+					new LedgerRows.Change(keeping, ((EngineLedger.Admitted) kept).ledger()));
+			Optional<RecordResult> result = result(command, outcome);
+			if (result.isPresent()) {
+				return result.get();
+			}
+		}
+		return new Refused(EngineLedger.Reason.CONTENTION, command.engine().value());
+	}
+
 	/**
 	 * Records that the caller is about to send an outstanding command again, with the
 	 * same id and the token of its own lease. Only after {@link Recorded} may the
@@ -134,7 +192,7 @@
 	 * @return the result
 	 */
 	public ChangeResult sent(BackendServerId engine, AttemptId command, CommandResult result) {
-		memory(engine).close(command, result);
+		this.rows.memory(engine).close(command, result);
 		return change(engine, UnaryOperator.identity());
 	}
 
@@ -159,9 +217,9 @@
 	 * @return the result
 	 */
 	public ChangeResult settle(EngineReport report, long requestedNanos) {
-		LedgerMemory memory = memory(report.engine());
+		LedgerMemory memory = this.rows.memory(report.engine());
 		return change(report.engine(), (ledger) -> {
-			if (!isNewer(ledger, report, requestedNanos)) {
+			if (!this.rows.isNewer(ledger, report, requestedNanos)) {
 				return ledger;
 			}
 			Set<AttemptId> expired = memory.expired(this.timer.nanoTime(), this.copyBound);
@@ -210,7 +268,7 @@
 	 * @return the ledger, empty if the engine never got a command
 	 */
 	public LoadResult load(BackendServerId engine) {
-		Loading loading = read(engine);
+		LedgerRows.Loading loading = this.rows.read(engine);
 		return (loading.failure().isPresent()) ? loading.failure().get() : new Loaded(loading.ledger());
 	}
 
@@ -229,7 +287,7 @@
 			if (ledger.isEmpty()) {
 				return StoreUnavailable.unchanged("malformed row of ledger " + row.key().key());
 			}
-			memory(ledger.get().engine()).observe(ledger.get(), this.timer.nanoTime());
+			this.rows.memory(ledger.get().engine()).observe(ledger.get(), this.timer.nanoTime());
 			ledgers.put(ledger.get().engine(), ledger.get());
 		}
 		return new LoadedAll(ledgers);
@@ -241,38 +299,44 @@
 			if (!lease.isUsable(this.timer.nanoTime())) {
 				return new Refused(EngineLedger.Reason.LEASE_EXPIRED, lease.name().value());
 			}
-			Loading loading = read(command.engine());
+			LedgerRows.Loading loading = this.rows.read(command.engine());
 			if (loading.failure().isPresent()) {
 				return loading.failure().get();
 			}
 			if (turn > 0 && isRecorded(loading.ledger(), command)) {
-				memory(command.engine()).reopen(command.attempt());
+				this.rows.memory(command.engine()).reopen(command.attempt());
 				return new Recorded(command);
 			}
 			EngineLedger.Admission admission = rule.apply(loading.prepared());
 			if (admission instanceof EngineLedger.Denied denied) {
 				return new Refused(denied.reason(), denied.detail());
 			}
-			ConditionalWriter.Outcome outcome = write(loading, ((EngineLedger.Admitted) admission).ledger());
-			Optional<StoreUnavailable> failure = failure(outcome);
-			if (failure.isPresent()) {
-				memory(command.engine()).close(command.attempt(), CommandResult.NOT_SENT);
-				return failure.get();
-			}
-			if (outcome instanceof ConditionalWriter.Applied) {
-				return new Recorded(command);
+			ConditionalWriter.Outcome outcome = this.rows
+				.write(new LedgerRows.Change(loading, ((EngineLedger.Admitted) admission).ledger()));
+			Optional<RecordResult> result = result(command, outcome);
+			if (result.isPresent()) {
+				return result.get();
 			}
 		}
 		return new Refused(EngineLedger.Reason.CONTENTION, command.engine().value());
 	}
 
+	private Optional<RecordResult> result(EngineCommand command, ConditionalWriter.Outcome outcome) {
+		Optional<StoreUnavailable> failure = LedgerRows.failure(outcome);
+		if (failure.isPresent()) {
+			this.rows.memory(command.engine()).close(command.attempt(), CommandResult.NOT_SENT);
+			return Optional.of(failure.get());
+		}
+		return (outcome instanceof ConditionalWriter.Applied) ? Optional.of(new Recorded(command)) : Optional.empty();
+	}
+
 	private boolean isRecorded(EngineLedger ledger, EngineCommand command) {
 		return ledger.entry(command.attempt()).filter((entry) -> entry.openSenders().contains(this.sender)).isPresent();
 	}
 
 	private ChangeResult change(BackendServerId engine, UnaryOperator<EngineLedger> rule) {
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
-			Loading loading = read(engine);
+			LedgerRows.Loading loading = this.rows.read(engine);
 			if (loading.failure().isPresent()) {
 				return loading.failure().get();
 			}
@@ -280,8 +344,8 @@
 			if (loading.closures().isEmpty() && next.equals(loading.ledger())) {
 				return new Changed(next);
 			}
-			ConditionalWriter.Outcome outcome = write(loading, next);
-			Optional<StoreUnavailable> failure = failure(outcome);
+			ConditionalWriter.Outcome outcome = this.rows.write(new LedgerRows.Change(loading, next));
+			Optional<StoreUnavailable> failure = LedgerRows.failure(outcome);
 			if (failure.isPresent()) {
 				return failure.get();
 			}
@@ -292,66 +356,6 @@
 		return StoreUnavailable.unchanged("other writers interfere with ledger " + engine);
 	}
 
-	private Loading read(BackendServerId engine) {
-		TableService.ReadResult result = this.writer.read(RowKey.of(TABLE, engine.value()));
-		if (result instanceof TableService.ReadFailed failed) {
-			return Loading.failed(engine, failed.reason());
-		}
-		Optional<Row> row = (result instanceof TableService.Found found) ? Optional.of(found.row()) : Optional.empty();
-		Optional<EngineLedger> stored = row.map(Row::value)
-			.map((text) -> StateJson.read(text, EngineLedger.class))
-			.orElse(Optional.of(EngineLedger.empty(engine)));
-		if (stored.isEmpty()) {
-			return Loading.failed(engine, "malformed row of ledger " + engine);
-		}
-		LedgerMemory memory = memory(engine);
-		memory.observe(stored.get(), this.timer.nanoTime());
-		Map<AttemptId, CommandResult> closures = memory.closures();
-		return new Loading(row, stored.get(), prepared(stored.get(), closures), closures, Optional.empty());
-	}
-
-	private EngineLedger prepared(EngineLedger stored, Map<AttemptId, CommandResult> closures) {
-		EngineLedger ledger = stored.closedExcept(this.sender.host(), this.sender);
-		for (Map.Entry<AttemptId, CommandResult> closure : closures.entrySet()) {
-			ledger = ledger.closed(closure.getKey(), this.sender, closure.getValue());
-		}
-		return ledger;
-	}
-
-	private ConditionalWriter.Outcome write(Loading loading, EngineLedger next) {
-		String json = StateJson.write(next);
-		RowKey key = RowKey.of(TABLE, next.engine().value());
-		RowWrite write = loading.row()
-			.map((row) -> RowWrite.replace(row, json))
-			.orElseGet(() -> RowWrite.create(key, json));
-		ConditionalWriter.Outcome outcome = this.writer.write(write);
-		if (outcome instanceof ConditionalWriter.Applied) {
-			memory(next.engine()).forget(loading.closures());
-		}
-		return outcome;
-	}
-
-	private boolean isNewer(EngineLedger ledger, EngineReport report, long requestedNanos) {
-		if (ledger.incarnation().isEmpty() || report.incarnation().equals(ledger.incarnation())) {
-			return !ledger.isOlder(report);
-		}
-		return memory(ledger.engine()).isAfterFirstSight(ledger.incarnation(), requestedNanos);
-	}
-
-	private LedgerMemory memory(BackendServerId engine) {
-		return this.memories.computeIfAbsent(engine, (key) -> new LedgerMemory());
-	}
-
-	private static Optional<StoreUnavailable> failure(ConditionalWriter.Outcome outcome) {
-		if (outcome instanceof ConditionalWriter.NotApplied failed) {
-			return Optional.of(StoreUnavailable.unchanged(failed.reason()));
-		}
-		if (outcome instanceof ConditionalWriter.Unresolved failed) {
-			return Optional.of(StoreUnavailable.unknown(failed.reason()));
-		}
-		return Optional.empty();
-	}
-
 	/** Result of {@link CommandLedger#record} and {@link CommandLedger#resend}. */
 	public sealed interface RecordResult permits Recorded, Refused, StoreUnavailable {
 
@@ -423,24 +427,4 @@
 
 	}
 
-	/**
-	 * A row as read, and as this process would write it before the rule is applied.
-	 *
-	 * @param row the row, empty if it does not exist
-	 * @param ledger the ledger of the row
-	 * @param prepared the ledger with what this process has to add
-	 * @param closures the outcomes that are added
-	 * @param failure the failure of the read, empty if it succeeded
-	 */
-	private record Loading(Optional<Row> row, EngineLedger ledger, EngineLedger prepared,
-			Map<AttemptId, CommandResult> closures, Optional<StoreUnavailable> failure) {
-
-		private static Loading failed(BackendServerId engine, String reason) {
-			EngineLedger empty = EngineLedger.empty(engine);
-			return new Loading(Optional.empty(), empty, empty, Map.of(),
-					Optional.of(StoreUnavailable.unchanged(reason)));
-		}
-
-	}
-
 }
--- a/state/src/main/java/org/celeryhill/state/ConditionalWriter.java
+++ b/state/src/main/java/org/celeryhill/state/ConditionalWriter.java
@@ -12,8 +12,8 @@
 import org.celeryhill.port.TableService;
 
 /**
- * Writes single rows conditionally and finds out by reading back whether a write without
- * an answer took effect. Every try of one write carries the same attempt id and the same
+ * Writes rows conditionally and finds out by reading back whether a write without an
+ * answer took effect. Every try of one write carries the same attempt id and the same
  * expected version, so that it takes effect at most once. Each operation makes at most
  * {@link RetryPolicy#tries()} writes and as many reads, each bounded by the timeout of
  * the table service; a slow service delays the caller by their sum plus the pauses of the
@@ -100,7 +100,17 @@
 	 * @return the outcome
 	 */
 	public Outcome write(AttemptId attempt, RowWrite write) {
-		return run(attempt, write, false);
+		return run(attempt, List.of(write), false);
+	}
+
+	/**
+	 * Writes several rows in one transaction under a new attempt id. The first row is
+	 * read back to find out what became of a write without an answer.
+	 * @param writes the writes, not null, not empty
+	 * @return the outcome, with the first row if it applied
+	 */
+	public Outcome writeAll(List<RowWrite> writes) {
+		return run(nextAttempt(), List.copyOf(writes), false);
 	}
 
 	/**
@@ -110,10 +120,11 @@
 	 * @return the outcome
 	 */
 	public Outcome resolve(Unresolved unresolved) {
-		return run(unresolved.attempt(), unresolved.write(), true);
+		return run(unresolved.attempt(), unresolved.writes(), true);
 	}
 
-	private Outcome run(AttemptId attempt, RowWrite write, boolean mayBeWritten) {
+	private Outcome run(AttemptId attempt, List<RowWrite> writes, boolean mayBeWritten) {
+		RowWrite write = writes.get(0);
 		boolean isUnknown = mayBeWritten;
 		String reason = "";
 		for (int turn = 0; turn < this.retries.tries(); turn++) {
@@ -124,7 +135,7 @@
 			if (decided.isPresent()) {
 				return decided.get();
 			}
-			TableService.WriteResult result = this.table.write(attempt, List.of(write));
+			TableService.WriteResult result = this.table.write(attempt, writes);
 			if (result instanceof TableService.Written written) {
 				return new Applied(written.rows().stream().findFirst());
 			}
@@ -140,7 +151,7 @@
 			}
 		}
 		Optional<Outcome> decided = (isUnknown) ? readBack(attempt, write) : Optional.empty();
-		Outcome undecided = (isUnknown) ? new Unresolved(attempt, write, reason) : new NotApplied(reason);
+		Outcome undecided = (isUnknown) ? new Unresolved(attempt, writes, reason) : new NotApplied(reason);
 		return decided.orElse(undecided);
 	}
 
@@ -215,10 +226,10 @@
 	 * The write may have taken effect or may still do so.
 	 *
 	 * @param attempt the id of the write, not null
-	 * @param write the write, not null
+	 * @param writes the writes of the transaction, not null
 	 * @param reason a short text for logs, not null
 	 */
-	public record Unresolved(AttemptId attempt, RowWrite write, String reason) implements Outcome {
+	public record Unresolved(AttemptId attempt, List<RowWrite> writes, String reason) implements Outcome {
 
 	}
 
--- a/state/src/main/java/org/celeryhill/state/EngineLedger.java
+++ b/state/src/main/java/org/celeryhill/state/EngineLedger.java
@@ -173,6 +173,23 @@
 		return (command.action().isUnload()) ? new Admitted(ledger) : ledger.checkMemory(report);
 	}
 
+	/**
+	 * Records that this engine keeps a model which another engine unloads.
+	 * @param removal the unload, not null
+	 * @param report this engine's report, not older than this ledger, not null
+	 * @return the ledger, changed by the caller's token, or the refusal
+	 */
+	public Admission keep(EngineCommand removal, EngineReport report) {
+		if (removal.token().compareTo(this.highestToken) < 0) {
+			return new Denied(Reason.NEWER_HOLDER, "token " + this.highestToken.value() + " has been used");
+		}
+		if (!report.isReady(removal.model()) || unloads().contains(removal.model())) {
+			return new Denied(Reason.NO_KEEPER, this.engine.value());
+		}
+		return new Admitted(
+				new EngineLedger(this.engine, removal.token(), report.incarnation(), report.sequence(), this.entries));
+	}
+
 	/**
 	 * Records that an outstanding command is about to be sent again.
 	 * @param command the command, not null
@@ -354,6 +371,9 @@
 		/** The model is resident. */
 		ALREADY_RESIDENT,
 
+		/** The other engine does not keep the model ready. */
+		NO_KEEPER,
+
 		/** The model is not resident, or only the legacy system holds it. */
 		NOT_RESIDENT,
 
