Report unknown outcomes of overtaken writes; fuzz reachability

Cause: fuzzing seed 202 found a proposal reported as unchanged that was accepted: its write applied without an answer, the repeated write met a conflict with itself, and the row could not be read back. The same gap left an open sender in the command ledger. Change: such a conflict is an unresolved write, and an operation that may have written before a later failure says so. A world with the planner, ledgers and leases checks that reachable models stay reachable; recordRemoval also covers the successor of a version change. Conclusion: regression tests for both; the placement promise is fuzzed too.

--- a/fuzz/src/main/java/org/celeryhill/fuzz/Promise.java
+++ b/fuzz/src/main/java/org/celeryhill/fuzz/Promise.java
@@ -19,7 +19,10 @@
 	CONFIGURATION(ConfigurationWorld::new),
 
 	/** One process at a time sees its lease as usable. */
-	LEASE(LeaseWorld::new);
+	LEASE(LeaseWorld::new),
+
+	/** A reachable model stays reachable. */
+	PLACEMENT(PlacementWorld::new);
 
 	/** Creates the world of one case. */
 	private final Supplier<World> factory;
--- a/fuzz/src/test/java/org/celeryhill/fuzz/PromiseTests.java
+++ b/fuzz/src/test/java/org/celeryhill/fuzz/PromiseTests.java
@@ -9,6 +9,7 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.ModelId;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.port.EngineCommand;
 import org.celeryhill.port.EngineReport;
@@ -16,6 +17,8 @@
 import org.celeryhill.port.RowWrite;
 import org.celeryhill.port.TableService;
 import org.celeryhill.state.AppliedRevision;
+import org.celeryhill.state.CommandLedger;
+import org.celeryhill.state.ConfigurationStore;
 import org.celeryhill.state.Lease;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -147,6 +150,29 @@
 		});
 	}
 
+	/** Guards against a fuzzer that does not notice two planners that remove a model. */
+	@Test
+	void catchesRemovalWithoutKeeper() {
+		assertCaught("removal without a fence on the keeper", () -> new PlacementWorld() {
+			@Override
+			protected CommandLedger.RecordResult recordRemoval(CommandLedger ledger, Lease lease, EngineCommand command,
+					EngineReport report, ModelId kept, EngineReport keeper, long requestedNanos) {
+				return ledger.record(lease, command, report, requestedNanos);
+			}
+		});
+	}
+
+	/** Guards against a fuzzer that does not notice a proposal accepted after refusal. */
+	@Test
+	void catchesIgnoredUnknownOutcome() {
+		assertCaught("unknown outcome of a proposal told as refused", () -> new ConfigurationWorld() {
+			@Override
+			protected boolean isRefused(ConfigurationStore.ProposeResult result) {
+				return result instanceof ConfigurationStore.Unknown || super.isRefused(result);
+			}
+		});
+	}
+
 	private static void assertCaught(String variant, Supplier<World> worlds) {
 		FuzzResult result = new FuzzRunner(worlds, CASE).run(SEED, BUDGET, () -> false);
 		System.out.println("variant=\"" + variant + "\" cases=" + result.cases() + " steps=" + result.steps()
--- a/state/src/main/java/org/celeryhill/state/ClaimStore.java
+++ b/state/src/main/java/org/celeryhill/state/ClaimStore.java
@@ -93,10 +93,11 @@
 		}
 		Claim fresh = Claim.running(attempt, requestDigest, system, now.get());
 		RowKey row = rowKey(organisation, key);
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			Loading loading = load(row);
 			if (loading.failure().isPresent()) {
-				return loading.failure().get();
+				return loading.failure().get().after(mayBeWritten);
 			}
 			Optional<ClaimResult> existing = loading.claim().flatMap((claim) -> judge(row, claim, fresh));
 			if (existing.isPresent()) {
@@ -109,10 +110,11 @@
 			}
 			Optional<StoreUnavailable> failure = failure(outcome);
 			if (failure.isPresent()) {
-				return failure.get();
+				return failure.get().after(mayBeWritten);
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 		}
-		return StoreUnavailable.unchanged("other writers interfere with the claim");
+		return StoreUnavailable.unchanged("other writers interfere with the claim").after(mayBeWritten);
 	}
 
 	/**
@@ -164,10 +166,11 @@
 		this.decided.add(attempt);
 		RowKey row = rowKey(organisation, key);
 		Claim given = Claim.running(attempt, requestDigest, system, this.epoch.current().orElse(0L)).withdrawn();
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			Loading loading = load(row);
 			if (loading.failure().isPresent()) {
-				return loading.failure().get();
+				return loading.failure().get().after(mayBeWritten);
 			}
 			if (loading.claim().isPresent() && !loading.claim().get().isRunningBy(attempt)) {
 				this.decided.remove(attempt);
@@ -177,14 +180,15 @@
 			ConditionalWriter.Outcome outcome = write(row, loading, next);
 			Optional<StoreUnavailable> failure = failure(outcome);
 			if (failure.isPresent()) {
-				return failure.get();
+				return failure.get().after(mayBeWritten);
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 			if (outcome instanceof ConditionalWriter.Applied) {
 				this.decided.remove(attempt);
 				return new Stored();
 			}
 		}
-		return StoreUnavailable.unchanged("other writers interfere with the claim");
+		return StoreUnavailable.unchanged("other writers interfere with the claim").after(mayBeWritten);
 	}
 
 	/**
@@ -248,10 +252,11 @@
 
 	private CompleteResult end(Won won, UnaryOperator<Claim> change) {
 		Claim next = change.apply(won.claim());
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			Loading loading = load(won.row());
 			if (loading.failure().isPresent()) {
-				return loading.failure().get();
+				return loading.failure().get().after(mayBeWritten);
 			}
 			if (loading.claim().isEmpty() || !loading.claim().get().isRunningBy(won.claim().attempt())) {
 				this.decided.remove(won.claim().attempt());
@@ -260,14 +265,15 @@
 			ConditionalWriter.Outcome outcome = write(won.row(), loading, next);
 			Optional<StoreUnavailable> failure = failure(outcome);
 			if (failure.isPresent()) {
-				return failure.get();
+				return failure.get().after(mayBeWritten);
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 			if (outcome instanceof ConditionalWriter.Applied) {
 				this.decided.remove(won.claim().attempt());
 				return new Stored();
 			}
 		}
-		return StoreUnavailable.unchanged("other writers interfere with the claim");
+		return StoreUnavailable.unchanged("other writers interfere with the claim").after(mayBeWritten);
 	}
 
 	private Loading load(RowKey row) {
--- a/state/src/main/java/org/celeryhill/state/CommandLedger.java
+++ b/state/src/main/java/org/celeryhill/state/CommandLedger.java
@@ -12,6 +12,7 @@
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.HostId;
+import org.celeryhill.base.ModelId;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.port.Engine.CommandResult;
 import org.celeryhill.port.EngineCommand;
@@ -107,36 +108,41 @@
 	}
 
 	/**
-	 * Records an unload of a model that another engine keeps. Both rows are written in
-	 * one transaction, so that a planner that is paused past its lease cannot unload the
-	 * replica that the keeper has: its own write finds the row changed. Otherwise as for
-	 * {@link #record}; an unload of a model that need not stay reachable is recorded with
-	 * that method.
+	 * Records an unload of a model that stays reachable through a keeper: the same model
+	 * on another engine, or its successor after a version change. The rows of both
+	 * engines are written in one transaction, so that a planner that is paused past its
+	 * lease cannot unload what the keeper has: its own write finds the row changed.
+	 * Otherwise as for {@link #record}; an unload of a model that need not stay reachable
+	 * is recorded with that method.
 	 * @param lease the lease of the engine's group, not null
 	 * @param command the unload with the token of the lease, not null
 	 * @param report the report of the engine that unloads, not null
-	 * @param keeper the report of another engine on which the model is ready, not null
+	 * @param kept the model that stays ready, which may be the unloaded one only if the
+	 * keeper is another engine, not null
+	 * @param keeper the report of the engine on which it is ready, not null
 	 * @param requestedNanos when the earlier of the two reports was asked for, on the
 	 * monotonic clock of this process, in nanoseconds
 	 * @return the result
 	 * @throws IllegalArgumentException if the token is not that of the lease, the command
-	 * is not an unload, or the keeper is the engine itself
+	 * is not an unload, or it would unload the keeper
 	 */
-	public RecordResult recordRemoval(Lease lease, EngineCommand command, EngineReport report, EngineReport keeper,
-			long requestedNanos) {
-		boolean isOtherEngine = !keeper.engine().equals(command.engine());
-		if (!command.token().equals(lease.token()) || !command.action().isUnload() || !isOtherEngine) {
-			throw new IllegalArgumentException("not a removal that another engine can replace: " + command);
+	public RecordResult recordRemoval(Lease lease, EngineCommand command, EngineReport report, ModelId kept,
+			EngineReport keeper, long requestedNanos) {
+		boolean isSameEngine = keeper.engine().equals(command.engine());
+		boolean isKeeperUnloaded = isSameEngine && kept.equals(command.model());
+		if (!command.token().equals(lease.token()) || !command.action().isUnload() || isKeeperUnloaded) {
+			throw new IllegalArgumentException("not a removal that the keeper can replace: " + command);
 		}
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			if (!lease.isUsable(this.timer.nanoTime())) {
-				return new Refused(EngineLedger.Reason.LEASE_EXPIRED, lease.name().value());
+				return refused(command, EngineLedger.Reason.LEASE_EXPIRED, lease.name().value(), mayBeWritten);
 			}
 			LedgerRows.Loading removing = this.rows.read(command.engine());
 			LedgerRows.Loading keeping = this.rows.read(keeper.engine());
 			Optional<StoreUnavailable> unread = removing.failure().or(keeping::failure);
 			if (unread.isPresent()) {
-				return unread.get();
+				return failed(command, unread.get().after(mayBeWritten));
 			}
 			if (turn > 0 && isRecorded(removing.ledger(), command)) {
 				this.rows.memory(command.engine()).reopen(command.attempt());
@@ -147,23 +153,25 @@
 			if (!isNewer) {
 				return new Refused(EngineLedger.Reason.STALE_REPORT, report.incarnation());
 			}
-			EngineLedger.Admission kept = keeping.prepared().settled(keeper).keep(command, keeper);
+			EngineLedger.Admission fenced = keeping.prepared().settled(keeper).keep(kept, command.token(), keeper);
 			EngineLedger.Admission admission = removing.prepared().settled(report).admit(command, report, this.sender);
-			if (kept instanceof EngineLedger.Denied denied) {
+			if (fenced instanceof EngineLedger.Denied denied) {
 				return new Refused(denied.reason(), denied.detail());
 			}
 			if (admission instanceof EngineLedger.Denied denied) {
 				return new Refused(denied.reason(), denied.detail());
 			}
-			ConditionalWriter.Outcome outcome = this.rows.write(
-					new LedgerRows.Change(removing, ((EngineLedger.Admitted) admission).ledger()),
-					new LedgerRows.Change(keeping, ((EngineLedger.Admitted) kept).ledger()));
+			LedgerRows.Change removal = new LedgerRows.Change(removing, ((EngineLedger.Admitted) admission).ledger());
+			LedgerRows.Change fence = new LedgerRows.Change(keeping, ((EngineLedger.Admitted) fenced).ledger());
+			ConditionalWriter.Outcome outcome = (isSameEngine) ? this.rows.write(removal)
+					: this.rows.write(removal, fence);
 			Optional<RecordResult> result = result(command, outcome);
 			if (result.isPresent()) {
 				return result.get();
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 		}
-		return new Refused(EngineLedger.Reason.CONTENTION, command.engine().value());
+		return refused(command, EngineLedger.Reason.CONTENTION, command.engine().value(), mayBeWritten);
 	}
 
 	/**
@@ -295,13 +303,14 @@
 
 	private RecordResult admit(Lease lease, EngineCommand command,
 			Function<EngineLedger, EngineLedger.Admission> rule) {
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			if (!lease.isUsable(this.timer.nanoTime())) {
-				return new Refused(EngineLedger.Reason.LEASE_EXPIRED, lease.name().value());
+				return refused(command, EngineLedger.Reason.LEASE_EXPIRED, lease.name().value(), mayBeWritten);
 			}
 			LedgerRows.Loading loading = this.rows.read(command.engine());
 			if (loading.failure().isPresent()) {
-				return loading.failure().get();
+				return failed(command, loading.failure().get().after(mayBeWritten));
 			}
 			if (turn > 0 && isRecorded(loading.ledger(), command)) {
 				this.rows.memory(command.engine()).reopen(command.attempt());
@@ -317,24 +326,39 @@
 			if (result.isPresent()) {
 				return result.get();
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 		}
-		return new Refused(EngineLedger.Reason.CONTENTION, command.engine().value());
+		return refused(command, EngineLedger.Reason.CONTENTION, command.engine().value(), mayBeWritten);
 	}
 
 	private Optional<RecordResult> result(EngineCommand command, ConditionalWriter.Outcome outcome) {
 		Optional<StoreUnavailable> failure = LedgerRows.failure(outcome);
 		if (failure.isPresent()) {
-			this.rows.memory(command.engine()).close(command.attempt(), CommandResult.NOT_SENT);
-			return Optional.of(failure.get());
+			return Optional.of(failed(command, failure.get()));
 		}
 		return (outcome instanceof ConditionalWriter.Applied) ? Optional.of(new Recorded(command)) : Optional.empty();
 	}
 
+	private Refused refused(EngineCommand command, EngineLedger.Reason reason, String detail, boolean mayBeWritten) {
+		if (mayBeWritten) {
+			this.rows.memory(command.engine()).close(command.attempt(), CommandResult.NOT_SENT);
+		}
+		return new Refused(reason, detail);
+	}
+
+	private StoreUnavailable failed(EngineCommand command, StoreUnavailable failure) {
+		if (failure.isOutcomeUnknown()) {
+			this.rows.memory(command.engine()).close(command.attempt(), CommandResult.NOT_SENT);
+		}
+		return failure;
+	}
+
 	private boolean isRecorded(EngineLedger ledger, EngineCommand command) {
 		return ledger.entry(command.attempt()).filter((entry) -> entry.openSenders().contains(this.sender)).isPresent();
 	}
 
 	private ChangeResult change(BackendServerId engine, UnaryOperator<EngineLedger> rule) {
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			LedgerRows.Loading loading = this.rows.read(engine);
 			if (loading.failure().isPresent()) {
--- a/state/src/main/java/org/celeryhill/state/ConditionalWriter.java
+++ b/state/src/main/java/org/celeryhill/state/ConditionalWriter.java
@@ -140,7 +140,7 @@
 				return new Applied(written.rows().stream().findFirst());
 			}
 			if (result instanceof TableService.Conflict) {
-				return afterConflict(attempt, write, isUnknown);
+				return afterConflict(attempt, writes, isUnknown);
 			}
 			if (result instanceof TableService.NotWritten notWritten) {
 				reason = notWritten.reason();
@@ -155,11 +155,12 @@
 		return decided.orElse(undecided);
 	}
 
-	private Outcome afterConflict(AttemptId attempt, RowWrite write, boolean isUnknown) {
+	// After a try without an answer the conflict may come from that try itself.
+	private Outcome afterConflict(AttemptId attempt, List<RowWrite> writes, boolean isUnknown) {
 		if (!isUnknown) {
 			return new Overtaken(false);
 		}
-		return readBack(attempt, write).orElse(new Overtaken(true));
+		return readBack(attempt, writes.get(0)).orElse(new Unresolved(attempt, writes, "conflict could not be read"));
 	}
 
 	private Optional<Outcome> readBack(AttemptId attempt, RowWrite write) {
--- a/state/src/main/java/org/celeryhill/state/ConfigurationStore.java
+++ b/state/src/main/java/org/celeryhill/state/ConfigurationStore.java
@@ -84,10 +84,11 @@
 		}
 		AttemptId proposal = this.writer.nextAttempt();
 		RevisionDocument numbered = document.withNumber(expectedHead + 1);
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			Loading loading = load();
 			if (loading.failure().isPresent()) {
-				return loading.failure().get();
+				return (mayBeWritten) ? new Unknown(numbered.number()) : loading.failure().get();
 			}
 			if (loading.head().number() != expectedHead) {
 				return judge(loading.head(), numbered, author);
@@ -106,8 +107,10 @@
 			if (outcome instanceof ConditionalWriter.Unresolved) {
 				return new Unknown(numbered.number());
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 		}
-		return StoreUnavailable.unchanged("other writers interfere with the configuration head");
+		return (mayBeWritten) ? new Unknown(numbered.number())
+				: StoreUnavailable.unchanged("other writers interfere with the configuration head");
 	}
 
 	/**
--- a/state/src/main/java/org/celeryhill/state/EngineLedger.java
+++ b/state/src/main/java/org/celeryhill/state/EngineLedger.java
@@ -174,20 +174,22 @@
 	}
 
 	/**
-	 * Records that this engine keeps a model which another engine unloads.
-	 * @param removal the unload, not null
+	 * Records that this engine keeps a model ready while a replica of it, or of its
+	 * predecessor, is unloaded.
+	 * @param kept the model, not null
+	 * @param token the token under which the unload is sent, not null
 	 * @param report this engine's report, not older than this ledger, not null
 	 * @return the ledger, changed by the caller's token, or the refusal
 	 */
-	public Admission keep(EngineCommand removal, EngineReport report) {
-		if (removal.token().compareTo(this.highestToken) < 0) {
+	public Admission keep(ModelId kept, FencingToken token, EngineReport report) {
+		if (token.compareTo(this.highestToken) < 0) {
 			return new Denied(Reason.NEWER_HOLDER, "token " + this.highestToken.value() + " has been used");
 		}
-		if (!report.isReady(removal.model()) || unloads().contains(removal.model())) {
+		if (!report.isReady(kept) || unloads().contains(kept)) {
 			return new Denied(Reason.NO_KEEPER, this.engine.value());
 		}
 		return new Admitted(
-				new EngineLedger(this.engine, removal.token(), report.incarnation(), report.sequence(), this.entries));
+				new EngineLedger(this.engine, token, report.incarnation(), report.sequence(), this.entries));
 	}
 
 	/**
--- a/state/src/main/java/org/celeryhill/state/LeaseStore.java
+++ b/state/src/main/java/org/celeryhill/state/LeaseStore.java
@@ -80,10 +80,11 @@
 	 * @return the result
 	 */
 	public AcquireResult acquire(LeaseName name) {
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			TableService.ReadResult result = this.writer.read(key(name));
 			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason());
+				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
 			}
 			Optional<Row> row = row(result);
 			Optional<LeaseRecord> current = row.flatMap((found) -> StateJson.read(found.value(), LeaseRecord.class));
@@ -99,10 +100,11 @@
 				return new Granted(attempt.lease().get());
 			}
 			if (attempt.failure().isPresent()) {
-				return attempt.failure().get();
+				return attempt.failure().get().after(mayBeWritten);
 			}
+			mayBeWritten |= attempt.mayBeWritten();
 		}
-		return StoreUnavailable.unchanged("other writers interfere with lease " + name);
+		return StoreUnavailable.unchanged("other writers interfere with lease " + name).after(mayBeWritten);
 	}
 
 	/**
@@ -112,10 +114,11 @@
 	 * @return the result
 	 */
 	public RenewResult renew(Lease lease) {
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			TableService.ReadResult result = this.writer.read(key(lease.name()));
 			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason());
+				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
 			}
 			Optional<Row> row = row(result);
 			Optional<LeaseRecord> current = held(row, lease);
@@ -127,10 +130,11 @@
 				return new Granted(attempt.lease().get());
 			}
 			if (attempt.failure().isPresent()) {
-				return attempt.failure().get();
+				return attempt.failure().get().after(mayBeWritten);
 			}
+			mayBeWritten |= attempt.mayBeWritten();
 		}
-		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name());
+		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name()).after(mayBeWritten);
 	}
 
 	/**
@@ -140,10 +144,11 @@
 	 * @return the result
 	 */
 	public ReleaseResult release(Lease lease) {
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			TableService.ReadResult result = this.writer.read(key(lease.name()));
 			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason());
+				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
 			}
 			Optional<Row> row = row(result);
 			Optional<LeaseRecord> current = held(row, lease);
@@ -155,10 +160,11 @@
 				return new Released(lease.name());
 			}
 			if (attempt.failure().isPresent()) {
-				return attempt.failure().get();
+				return attempt.failure().get().after(mayBeWritten);
 			}
+			mayBeWritten |= attempt.mayBeWritten();
 		}
-		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name());
+		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name()).after(mayBeWritten);
 	}
 
 	private Optional<HeldBy> observe(LeaseName name, LeaseRecord record) {
@@ -192,15 +198,15 @@
 		ConditionalWriter.Outcome outcome = this.writer.write(write);
 		if (outcome instanceof ConditionalWriter.Applied) {
 			Lease lease = new Lease(name, record.holder(), record.session(), record.token(), record.duration(), start);
-			return new Attempt(Optional.of(lease), Optional.empty());
+			return new Attempt(Optional.of(lease), Optional.empty(), false);
 		}
 		if (outcome instanceof ConditionalWriter.NotApplied failed) {
-			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unchanged(failed.reason())));
+			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unchanged(failed.reason())), false);
 		}
 		if (outcome instanceof ConditionalWriter.Unresolved failed) {
-			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unknown(failed.reason())));
+			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unknown(failed.reason())), true);
 		}
-		return new Attempt(Optional.empty(), Optional.empty());
+		return new Attempt(Optional.empty(), Optional.empty(), StoreUnavailable.mayBeWritten(outcome));
 	}
 
 	private static Optional<LeaseRecord> held(Optional<Row> row, Lease lease) {
@@ -270,7 +276,7 @@
 	}
 
 	/** Result of one write: a lease, a failure, or neither if the row has changed. */
-	private record Attempt(Optional<Lease> lease, Optional<StoreUnavailable> failure) {
+	private record Attempt(Optional<Lease> lease, Optional<StoreUnavailable> failure, boolean mayBeWritten) {
 
 	}
 
--- a/state/src/main/java/org/celeryhill/state/PlannedStops.java
+++ b/state/src/main/java/org/celeryhill/state/PlannedStops.java
@@ -142,10 +142,11 @@
 
 	private StopResult change(StopTarget target, Function<Optional<PlannedStop>, Optional<PlannedStop>> rule) {
 		RowKey key = RowKey.of(TABLE, target.toKey());
+		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
 			TableService.ReadResult result = this.writer.read(key);
 			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason());
+				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
 			}
 			Optional<Row> row = (result instanceof TableService.Found found) ? Optional.of(found.row())
 					: Optional.empty();
@@ -164,13 +165,15 @@
 				return result(next);
 			}
 			if (outcome instanceof ConditionalWriter.NotApplied failed) {
-				return StoreUnavailable.unchanged(failed.reason());
+				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
 			}
 			if (outcome instanceof ConditionalWriter.Unresolved failed) {
 				return StoreUnavailable.unknown(failed.reason());
 			}
+			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 		}
-		return StoreUnavailable.unchanged("other writers interfere with planned stop " + target.toKey());
+		return StoreUnavailable.unchanged("other writers interfere with planned stop " + target.toKey())
+			.after(mayBeWritten);
 	}
 
 	private static StopResult result(Optional<PlannedStop> stop) {
--- a/state/src/main/java/org/celeryhill/state/StoreUnavailable.java
+++ b/state/src/main/java/org/celeryhill/state/StoreUnavailable.java
@@ -51,4 +51,22 @@
 		return new StoreUnavailable(reason, true);
 	}
 
+	/**
+	 * Returns this result for an operation that may have written before it failed.
+	 * @param mayBeWritten whether an earlier write of the operation may have taken effect
+	 * @return the result, never null
+	 */
+	StoreUnavailable after(boolean mayBeWritten) {
+		return new StoreUnavailable(this.reason, this.isOutcomeUnknown || mayBeWritten);
+	}
+
+	/**
+	 * Returns whether a write may have taken effect although it was overtaken.
+	 * @param outcome the outcome of the write, not null
+	 * @return true if only the content of the row can tell
+	 */
+	static boolean mayBeWritten(ConditionalWriter.Outcome outcome) {
+		return outcome instanceof ConditionalWriter.Overtaken overtaken && overtaken.mayHaveApplied();
+	}
+
 }
--- a/state/src/test/java/org/celeryhill/state/CommandLedgerTests.java
+++ b/state/src/test/java/org/celeryhill/state/CommandLedgerTests.java
@@ -1,5 +1,6 @@
 package org.celeryhill.state;
 
+import org.celeryhill.base.BackendServerId;
 import org.celeryhill.fake.FakeEngineMemory;
 import org.celeryhill.fake.Fault;
 import org.celeryhill.port.Engine.CommandResult;
@@ -125,6 +126,28 @@
 			.isInstanceOf(CommandLedger.Recorded.class);
 	}
 
+	/** Guards against a paused planner that unloads the replica another removal keeps. */
+	@Test
+	void removalFencesItsKeeper() {
+		FakeEngineMemory other = FakeEngineMemory.create(BackendServerId.of("engine-2"),
+				FakeEngineMemory.Settings.ofMemory(100), this.fixture.timer, this.fixture.faults);
+		EngineCommand load = load("a", 60, 1);
+		run(this.first, recorded(this.first, load));
+		other.receive(load);
+		this.fixture.advance(5);
+		EngineCommand here = command(Action.UNLOAD_MODEL, "a", 60, 2);
+		EngineCommand there = new EngineCommand(this.fixture.ids.get(), other.report().engine(), Action.UNLOAD_MODEL,
+				load.model(), 60, this.fixture.lease(1).token());
+		long now = this.fixture.timer.nanoTime();
+		assertThat(this.second.recordRemoval(this.fixture.lease(2), here, this.engine.report(), load.model(),
+				other.report(), now))
+			.isEqualTo(new CommandLedger.Recorded(here));
+		assertRefused(this.first.recordRemoval(this.fixture.lease(1), there, other.report(), load.model(),
+				this.engine.report(), now), EngineLedger.Reason.NEWER_HOLDER);
+		assertRefused(this.first.record(this.fixture.lease(1), there, other.report(), now),
+				EngineLedger.Reason.NEWER_HOLDER);
+	}
+
 	/**
 	 * Guards against a restarted planner whose earlier sendings reserve memory for good.
 	 */
--- a/state/src/test/java/org/celeryhill/state/ConfigurationStoreTests.java
+++ b/state/src/test/java/org/celeryhill/state/ConfigurationStoreTests.java
@@ -36,6 +36,17 @@
 		assertThat(this.store.propose(document("one"), 0, "anna")).isEqualTo(new ConfigurationStore.Accepted(1));
 	}
 
+	/** Regression of fuzzing seed 202: an accepted proposal was reported as unchanged. */
+	@Test
+	void conflictWithOwnWriteIsUnknown() {
+		this.fixture.faults.script(Fixture.TABLE, Fault.NONE);
+		this.fixture.faults.script(Fixture.TABLE, Fault.LOST_ANSWER, Fault.DOWN, Fault.NONE, Fault.DOWN, Fault.DOWN,
+				Fault.DOWN, Fault.DOWN);
+		assertThat(this.store.propose(document("one"), 0, "anna")).isEqualTo(new ConfigurationStore.Unknown(1));
+		this.fixture.faults.clear();
+		assertThat(this.store.propose(document("one"), 0, "anna")).isEqualTo(new ConfigurationStore.Accepted(1));
+	}
+
 	/** Guards against a head that names an object which does not exist. */
 	@Test
 	void nothingIsAcceptedWithoutObjectStore() {
