Let classes and organisations below their share use the urgent room

Change: urgent requests go first while the urgent usage alone is within the organisation's weight minus the floors; then classes below their floor; then fair queueing. Who goes before waiting urgent requests may use their room.

--- a/measure/src/main/java/org/celeryhill/measure/Figures.java
+++ b/measure/src/main/java/org/celeryhill/measure/Figures.java
@@ -70,7 +70,7 @@
 				round(tokens(run.jobs, Job::isAttained) / overload / capacity),
 				round(tokens(run.jobs, (job) -> true) / overload / capacity), round(jain(run, streams)),
 				recovery(run.jobs, scenario.seconds), round(othersUrgent(streams)), shares(streams),
-				Map.copyOf(new java.util.TreeMap<>(run.violations.counts())));
+				new java.util.TreeMap<>(run.violations.counts()));
 	}
 
 	private static List<Job> select(List<Job> jobs, double from, double until) {
--- a/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
@@ -41,6 +41,9 @@
 	/** Virtual start time of the next request, in tokens per part of the organisation. */
 	double tag;
 
+	/** Usage of the organisation up to which the floor has been served, in tokens. */
+	double floorTag;
+
 	/** Waiting requests. */
 	private int count;
 
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -15,6 +15,7 @@
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.HostId;
 import org.celeryhill.base.OrganisationId;
+import org.celeryhill.base.PriorityClass;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.base.UsageTotals;
@@ -263,10 +264,13 @@
 	}
 
 	private void sendFirst(ServicePool pool, FlowQueue flow, long now, List<TrafficAction> actions) {
-		boolean isBlocked = flow.route.isBlocked(flow.priority());
-		BackendState backend = isBlocked ? null : this.router.choose(pool, flow.peek(), this.share, false, now);
+		PriorityClass roomOf = pool.queue.isOwed() ? PriorityClass.URGENT : flow.priority();
+		BackendState backend = null;
+		if (!flow.route.isBlocked(roomOf)) {
+			backend = this.router.choose(pool, flow.peek(), roomOf, this.share, false, now);
+		}
 		if (backend == null) {
-			flow.block();
+			flow.block(roomOf);
 			return;
 		}
 		actions.add(send(pool, flow.take(), backend, false, now));
@@ -310,7 +314,7 @@
 			ServicePool pool = this.pools.get(pending.request.service());
 			if (pool.queue.isEmpty() && pending.running == 1) {
 				pending.avoid(attempt.backend.id);
-				BackendState backend = this.router.choose(pool, pending, this.share, true, now);
+				BackendState backend = this.router.choose(pool, pending, PriorityClass.URGENT, this.share, true, now);
 				if (backend != null && this.hedges.take()) {
 					pending.isHedged = true;
 					actions.add(send(pool, pending, backend, true, now));
@@ -405,7 +409,7 @@
 	@Override
 	public void observePeer(UsageTotals totals, long now) {
 		this.usage.observe(totals, now,
-				(id, tokens) -> this.pools.values().forEach((pool) -> pool.queue.chargePeer(id, tokens)));
+				(key, tokens) -> this.pools.values().forEach((pool) -> pool.queue.chargePeer(key, tokens)));
 	}
 
 	@Override
--- a/traffic/src/main/java/org/celeryhill/traffic/FairQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FairQueue.java
@@ -7,6 +7,7 @@
 
 import org.celeryhill.base.OrganisationId;
 import org.celeryhill.base.PriorityClass;
+import org.celeryhill.base.UsageTotals;
 
 /**
  * Start-time fair queue over the organisations of one service, weighted over estimated
@@ -16,8 +17,8 @@
  */
 final class FairQueue {
 
-	/** Lead in tokens per weight within which urgent requests go before other classes. */
-	private static final double URGENT_LEAD = 4000;
+	/** Largest credit in tokens per weight for urgent usage below the weight. */
+	private static final double URGENT_CREDIT = 20_000;
 
 	/** Largest lag or lead in tokens per weight that an organisation keeps. */
 	private static final double MEMORY = 60_000;
@@ -28,6 +29,12 @@
 	/** Organisations in order of first appearance. */
 	private final List<OrganisationQueue> organisations = new ArrayList<>();
 
+	/** Whether the queue returned last went before waiting urgent requests. */
+	private boolean isOwed;
+
+	/** Whether the queue returned last is urgent and within its organisation's weight. */
+	private boolean isFirst;
+
 	/** Virtual start time of the request sent last, in tokens per weight. */
 	private double virtualTime;
 
@@ -72,7 +79,8 @@
 	}
 
 	/**
-	 * Returns the queue whose turn it is.
+	 * Returns the queue whose turn it is: urgent requests of organisations whose urgent
+	 * usage is within their weight, then the organisation with the least usage.
 	 * @param now the time in nanoseconds
 	 * @return the queue, null if no request may find room
 	 */
@@ -86,17 +94,27 @@
 			if (best == null || one.tag < best.tag) {
 				best = one;
 			}
-			if (one.classes[PriorityClass.URGENT.ordinal()].isReady() && (urgent == null || one.tag < urgent.tag)) {
+			if (one.isReady(PriorityClass.URGENT) && (urgent == null || one.urgentTag < urgent.urgentTag)) {
 				urgent = one;
 			}
 		}
 		if (best == null) {
 			return null;
 		}
-		if (urgent != null && urgent.tag <= best.tag + URGENT_LEAD) {
-			best = urgent;
-		}
-		return best.next(now).first();
+		boolean isWithinWeight = urgent != null && urgent.urgentTag <= this.virtualTime;
+		ClassQueue chosen = isWithinWeight ? urgent.urgent(now) : best.next(now);
+		this.isOwed = urgent != null && chosen.priority != PriorityClass.URGENT;
+		this.isFirst = isWithinWeight;
+		return chosen.first();
+	}
+
+	/**
+	 * Returns whether the queue returned last goes before waiting urgent requests because
+	 * its class or organisation is below its share.
+	 * @return true if it may take the room kept for urgent requests
+	 */
+	boolean isOwed() {
+		return this.isOwed;
 	}
 
 	/**
@@ -106,20 +124,30 @@
 	 */
 	void charge(FlowQueue flow, double cost) {
 		OrganisationQueue queue = flow.parent.organisation;
-		queue.charge(flow.parent, cost);
-		this.virtualTime = Math.max(this.virtualTime, queue.tag);
+		queue.charge(flow.parent, cost, !this.isFirst);
+		if (!this.isFirst) {
+			this.virtualTime = Math.max(this.virtualTime, queue.tag);
+		}
 		queue.tag = Math.max(queue.tag, this.virtualTime - MEMORY) + cost / queue.weight;
+		if (flow.priority() == PriorityClass.URGENT) {
+			queue.chargeUrgent(this.virtualTime - URGENT_CREDIT, cost);
+		}
 	}
 
 	/**
 	 * Charges work that other daemons admitted.
-	 * @param id the organisation
+	 * @param key the organisation and class
 	 * @param tokens the estimated tokens
 	 */
-	void chargePeer(OrganisationId id, double tokens) {
-		OrganisationQueue queue = this.byId.get(id);
-		if (queue != null) {
-			queue.tag = Math.min(this.virtualTime + MEMORY, queue.tag + tokens / queue.weight);
+	void chargePeer(UsageTotals.Key key, double tokens) {
+		OrganisationQueue queue = this.byId.get(key.organisation());
+		if (queue == null) {
+			return;
+		}
+		queue.tag = Math.min(this.virtualTime + MEMORY, queue.tag + tokens / queue.weight);
+		if (key.priority() == PriorityClass.URGENT) {
+			queue.chargeUrgent(this.virtualTime - URGENT_CREDIT, tokens);
+			queue.urgentTag = Math.min(this.virtualTime + MEMORY, queue.urgentTag);
 		}
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
@@ -94,10 +94,13 @@
 		refresh();
 	}
 
-	/** Stops offering requests until there may be room again. */
-	void block() {
+	/**
+	 * Stops offering requests until there may be room again.
+	 * @param priority the class whose room is used up
+	 */
+	void block(PriorityClass priority) {
 		this.isBlocked = true;
-		this.route.block(this);
+		this.route.block(this, priority);
 		refresh();
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/ModelRoute.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ModelRoute.java
@@ -64,9 +64,10 @@
 	/**
 	 * Takes note that a queue found no room.
 	 * @param flow the queue
+	 * @param priority the class whose room is used up
 	 */
-	void block(FlowQueue flow) {
-		this.blockedFrom = Math.min(this.blockedFrom, flow.priority().ordinal());
+	void block(FlowQueue flow, PriorityClass priority) {
+		this.blockedFrom = Math.min(this.blockedFrom, priority.ordinal());
 		this.waiting.add(flow);
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/OrganisationQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/OrganisationQueue.java
@@ -45,9 +45,15 @@
 	/** Virtual start time of the next request, in tokens per weight. */
 	double tag;
 
+	/** Virtual time of the urgent usage alone, in tokens per weight. */
+	double urgentTag;
+
 	/** Virtual time over the classes. */
 	private double classTime;
 
+	/** Estimated tokens of all classes that were sent. */
+	private double usage;
+
 	/** Shares of the classes as last computed. */
 	private final double[] shares = new double[CLASSES];
 
@@ -73,6 +79,7 @@
 	 */
 	void activated(ClassQueue queue) {
 		queue.tag = Math.max(queue.tag, this.classTime);
+		queue.floorTag = Math.max(queue.floorTag, this.usage);
 		int others = 0;
 		for (ClassQueue one : this.classes) {
 			others += one.count();
@@ -95,6 +102,40 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether a request of a class may find room.
+	 * @param priority the class
+	 * @return true if so
+	 */
+	boolean isReady(PriorityClass priority) {
+		return this.classes[priority.ordinal()].isReady();
+	}
+
+	/**
+	 * Returns the urgent class out of turn.
+	 * @param now the time in nanoseconds
+	 * @return the class
+	 */
+	ClassQueue urgent(long now) {
+		updateShares(now);
+		return this.classes[PriorityClass.URGENT.ordinal()];
+	}
+
+	/**
+	 * Charges urgent usage alone. The floors of the lower classes are not available to
+	 * urgent requests that go before everything else.
+	 * @param earliest the least virtual time, which bounds the credit
+	 * @param cost the estimated tokens
+	 */
+	void chargeUrgent(double earliest, double cost) {
+		double floors = 0;
+		for (ClassQueue queue : this.classes) {
+			floors += (queue.priority != PriorityClass.URGENT) ? queue.target.floor() : 0;
+		}
+		double part = this.weight * Math.max(LEAST_SHARE, 1 - floors);
+		this.urgentTag = Math.max(this.urgentTag, earliest) + cost / part;
+	}
+
 	/**
 	 * Returns the class whose turn it is.
 	 * @param now the time in nanoseconds
@@ -102,7 +143,10 @@
 	 */
 	ClassQueue next(long now) {
 		updateShares(now);
-		ClassQueue best = null;
+		ClassQueue best = owed();
+		if (best != null) {
+			return best;
+		}
 		for (ClassQueue queue : this.classes) {
 			if (queue.isReady() && (best == null || queue.tag < best.tag)) {
 				best = queue;
@@ -111,14 +155,32 @@
 		return best;
 	}
 
+	private ClassQueue owed() {
+		ClassQueue best = null;
+		for (ClassQueue queue : this.classes) {
+			boolean isOwed = queue.priority != PriorityClass.URGENT && queue.target.floor() > 0
+					&& queue.floorTag <= this.usage;
+			if (isOwed && queue.isReady() && (best == null || queue.floorTag < best.floorTag)) {
+				best = queue;
+			}
+		}
+		return best;
+	}
+
 	/**
 	 * Charges a request that is sent.
 	 * @param queue the class
 	 * @param cost the estimated tokens
+	 * @param isInTurn whether it was the turn of the class; otherwise the virtual time
+	 * does not follow its tag
 	 */
-	void charge(ClassQueue queue, double cost) {
-		this.classTime = Math.max(this.classTime, queue.tag);
+	void charge(ClassQueue queue, double cost, boolean isInTurn) {
+		if (isInTurn) {
+			this.classTime = Math.max(this.classTime, queue.tag);
+		}
 		queue.tag += cost / this.shares[queue.priority.ordinal()];
+		queue.floorTag += cost / Math.max(LEAST_SHARE, queue.target.floor());
+		this.usage += cost;
 	}
 
 	/**
--- a/traffic/src/main/java/org/celeryhill/traffic/PeerUsage.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PeerUsage.java
@@ -1,8 +1,11 @@
 package org.celeryhill.traffic;
 
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ObjDoubleConsumer;
 import java.util.function.ToDoubleFunction;
 
@@ -89,9 +92,9 @@
 	 * Takes note of a peer's totals; repeated and old ones are ignored.
 	 * @param next the totals
 	 * @param now the time in nanoseconds
-	 * @param charge called with each organisation and its new tokens
+	 * @param charge called with each organisation and class and its new tokens
 	 */
-	void observe(UsageTotals next, long now, ObjDoubleConsumer<OrganisationId> charge) {
+	void observe(UsageTotals next, long now, ObjDoubleConsumer<UsageTotals.Key> charge) {
 		if (next.host().equals(this.host)) {
 			return;
 		}
@@ -170,26 +173,29 @@
 		/** Rates by organisation. */
 		private final Map<OrganisationId, RateEstimate> rates = new LinkedHashMap<>();
 
-		private void accept(UsageTotals next, long now, boolean isCharged, ObjDoubleConsumer<OrganisationId> charge) {
+		private void accept(UsageTotals next, long now, boolean isCharged, ObjDoubleConsumer<UsageTotals.Key> charge) {
 			Map<UsageTotals.Key, Long> before = Map.of();
 			if (this.latest != null && this.latest.incarnation().equals(next.incarnation())) {
 				before = this.latest.tokens();
 			}
-			Map<OrganisationId, Long> added = new HashMap<>();
-			for (Map.Entry<UsageTotals.Key, Long> entry : next.tokens().entrySet()) {
-				long more = entry.getValue() - before.getOrDefault(entry.getKey(), 0L);
-				added.merge(entry.getKey().organisation(), Math.max(0, more), Long::sum);
-			}
 			this.latest = next;
 			this.seen = now;
 			if (isCharged) {
-				new java.util.TreeMap<>(added).forEach((id, more) -> {
-					this.rates.computeIfAbsent(id, (one) -> new RateEstimate()).add(more, now);
-					charge.accept(id, more);
-				});
+				for (UsageTotals.Key key : ordered(next.tokens().keySet())) {
+					long more = Math.max(0, next.tokens().get(key) - before.getOrDefault(key, 0L));
+					this.rates.computeIfAbsent(key.organisation(), (one) -> new RateEstimate()).add(more, now);
+					charge.accept(key, more);
+				}
 			}
 		}
 
+		// The order of the keys decides rounding, so it must be the same in every run.
+		private static List<UsageTotals.Key> ordered(Set<UsageTotals.Key> keys) {
+			List<UsageTotals.Key> ordered = new ArrayList<>(keys);
+			ordered.sort(Comparator.comparing(UsageTotals.Key::organisation).thenComparing(UsageTotals.Key::priority));
+			return ordered;
+		}
+
 	}
 
 }
