Keep the urgent target between tokens while urgent requests are common

Change: the limit compares the time between tokens with the urgent target while urgent requests are at least a twentieth of the tokens.

--- a/traffic/src/main/java/org/celeryhill/traffic/ConcurrencyLimit.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ConcurrencyLimit.java
@@ -1,7 +1,5 @@
 package org.celeryhill.traffic;
 
-import org.celeryhill.base.PriorityClass;
-
 /**
  * Limit of the KV tokens in use on one engine. It grows additively while the engine is
  * used near the limit and the time between tokens stays well within the target, and
@@ -39,11 +37,8 @@
 	/** Limit as a part of the KV cache. */
 	private double part = INITIAL;
 
-	/** Sums of the samples of the window by class, each relative to the target. */
-	private final double[] sums = new double[PriorityClass.values().length];
-
-	/** Counts of the samples of the window by class. */
-	private final int[] counts = new int[PriorityClass.values().length];
+	/** Sum of the samples of the window, each relative to the target. */
+	private double sum;
 
 	/** Samples of the window. */
 	private int samples;
@@ -53,14 +48,12 @@
 
 	/**
 	 * Adds an observation.
-	 * @param priority the class of the attempt
-	 * @param ratio the time between tokens relative to the target of the class
+	 * @param ratio the time between tokens relative to the target
 	 * @param load the KV tokens in use relative to the limit
 	 * @param now the time in nanoseconds
 	 */
-	void observe(PriorityClass priority, double ratio, double load, long now) {
-		this.sums[priority.ordinal()] += ratio;
-		this.counts[priority.ordinal()]++;
+	void observe(double ratio, double load, long now) {
+		this.sum += ratio;
 		this.samples++;
 		if (now - this.start >= WINDOW && this.samples >= MIN_SAMPLES) {
 			adapt(load);
@@ -77,23 +70,17 @@
 	}
 
 	private void adapt(double load) {
-		double worst = 0;
-		for (int i = 0; i < this.sums.length; i++) {
-			if (this.counts[i] > 0) {
-				worst = Math.max(worst, this.sums[i] / this.counts[i]);
-			}
-		}
-		if (worst > HIGH) {
+		double mean = this.sum / this.samples;
+		if (mean > HIGH) {
 			this.part = Math.max(LEAST, this.part * DECREASE);
 		}
-		else if (worst < LOW && load > 0.8) {
+		else if (mean < LOW && load > 0.8) {
 			this.part = Math.min(MOST, this.part + INCREASE);
 		}
 	}
 
 	private void reset(long now) {
-		java.util.Arrays.fill(this.sums, 0);
-		java.util.Arrays.fill(this.counts, 0);
+		this.sum = 0;
 		this.samples = 0;
 		this.start = now;
 	}
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -330,18 +330,23 @@
 		if (attempt == null || tokens <= attempt.tokens) {
 			return;
 		}
-		BackendState backend = attempt.backend;
-		backend.progress(attempt, tokens);
+		attempt.backend.progress(attempt, tokens);
 		if (attempt.tokens > 0) {
-			double between = (double) (now - attempt.updated) / (tokens - attempt.tokens);
-			double ratio = between / attempt.pending.target.betweenTokens().toNanos();
-			backend.limit.observe(attempt.pending.request.priority(), ratio, backend.load(), now);
+			observeSpeed(attempt, tokens, now);
 		}
 		attempt.pending.isAnswering = true;
 		attempt.tokens = tokens;
 		attempt.updated = now;
 	}
 
+	private void observeSpeed(PendingRequest.Attempt attempt, int tokens, long now) {
+		BackendState backend = attempt.backend;
+		double between = (double) (now - attempt.updated) / (tokens - attempt.tokens);
+		ServicePool pool = this.pools.get(attempt.pending.request.service());
+		double ratio = between / pool.betweenTokensNanos(attempt.pending.flow.priority(), now);
+		backend.limit.observe(ratio, backend.load(), now);
+	}
+
 	@Override
 	public void finish(AttemptId id, AttemptOutcome outcome, long now) {
 		PendingRequest.Attempt attempt = this.table.attempt(id);
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -134,6 +134,19 @@
 		return (all > 0) ? Math.min(1, URGENT_COMMON * this.urgentRate.perSecond(now) / all) : 0;
 	}
 
+	/**
+	 * Returns the target for the time between tokens that an engine has to keep for a
+	 * request. All requests in a batch are equally fast, so while urgent requests are
+	 * common their target holds for the others as well.
+	 * @param priority the class of the request
+	 * @param now the time in nanoseconds
+	 * @return the target in nanoseconds
+	 */
+	double betweenTokensNanos(PriorityClass priority, long now) {
+		PriorityClass tightest = (urgency(now) > 0.5) ? PriorityClass.URGENT : priority;
+		return this.template.classes().get(tightest).betweenTokens().toNanos();
+	}
+
 	/**
 	 * Returns the route of a request.
 	 * @param organisation the organisation
