Serve requests that missed their target after those that can meet it

Cause: in order of arrival, a class that is overloaded serves every request just after its target, so all of its capacity is wasted.

Change: a waiting request whose target for the first token has passed goes behind the others of its class; admission counts only what goes before a new request.

--- a/traffic/src/main/java/org/celeryhill/traffic/AdmissionRule.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/AdmissionRule.java
@@ -53,20 +53,21 @@
 			return Optional.of(TrafficAction.Reason.DEADLINE);
 		}
 		boolean isBacklogged = queue.count() >= MIN_WAITING && now - queue.backloggedSince() >= MIN_BACKLOG;
-		if (isBacklogged && now + waitSeconds(pool, queue, now) * 1e9 > pending.deadline) {
+		if (isBacklogged && now + waitSeconds(pool, queue, queue.tokensAhead(), now) * 1e9 > pending.deadline) {
 			return Optional.of(TrafficAction.Reason.DEADLINE);
 		}
 		return Optional.empty();
 	}
 
 	/**
-	 * Returns the expected wait of a request that joins a class now.
+	 * Returns the expected time to send waiting requests of a class.
 	 * @param pool the service
 	 * @param queue the class
+	 * @param tokens the estimated tokens of the requests
 	 * @param now the time in nanoseconds
-	 * @return the wait in seconds
+	 * @return the time in seconds
 	 */
-	double waitSeconds(ServicePool pool, ClassQueue queue, long now) {
+	double waitSeconds(ServicePool pool, ClassQueue queue, long tokens, long now) {
 		if (queue.count() == 0) {
 			return 0;
 		}
@@ -74,7 +75,7 @@
 		double entitled = pool.rate.perSecond(now) * organisation.weight / pool.queue.activeWeight()
 				* organisation.share(queue.priority);
 		double rate = Math.max(queue.rate.perSecond(now), entitled);
-		return queue.tokens() / Math.max(1, rate);
+		return tokens / Math.max(1, rate);
 	}
 
 	/**
@@ -85,7 +86,7 @@
 	 * @return the time to drain the backlog, in whole seconds
 	 */
 	Duration retryAfter(ServicePool pool, ClassQueue queue, long now) {
-		double seconds = Math.ceil(waitSeconds(pool, queue, now));
+		double seconds = Math.ceil(waitSeconds(pool, queue, queue.tokens(), now));
 		return Duration.ofSeconds((long) Math.min(MAX_RETRY_SECONDS, Math.max(MIN_RETRY_SECONDS, seconds)));
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
@@ -47,6 +47,9 @@
 	/** Waiting requests. */
 	private int count;
 
+	/** Estimated tokens of the waiting requests that have missed their target. */
+	private long lateTokens;
+
 	/** Arrival of the request that ended the last time without waiting requests. */
 	private long backloggedSince;
 
@@ -87,11 +90,18 @@
 	}
 
 	/**
-	 * Returns the queue whose head arrived first among those that may find room.
+	 * Returns the queue whose head arrived first among those that may find room; heads
+	 * that have missed their target come last.
+	 * @param now the time in nanoseconds
 	 * @return the queue, null if none is ready
 	 */
-	FlowQueue first() {
-		return this.ready.isEmpty() ? null : this.ready.first();
+	FlowQueue first(long now) {
+		FlowQueue first = this.ready.isEmpty() ? null : this.ready.first();
+		while (first != null && !first.peek().isDemoted && first.peek().isLate(now)) {
+			first.demoteLate(now);
+			first = this.ready.first();
+		}
+		return first;
 	}
 
 	/**
@@ -122,6 +132,26 @@
 	void removed(PendingRequest pending) {
 		this.count--;
 		this.tokens -= pending.cost;
+		if (pending.isDemoted) {
+			this.lateTokens -= pending.cost;
+		}
+	}
+
+	/**
+	 * Counts a request that has missed its target.
+	 * @param pending the request
+	 */
+	void demoted(PendingRequest pending) {
+		pending.isDemoted = true;
+		this.lateTokens += pending.cost;
+	}
+
+	/**
+	 * Returns the estimated tokens of the waiting requests that go before a new one.
+	 * @return the tokens
+	 */
+	long tokensAhead() {
+		return this.tokens - this.lateTokens;
 	}
 
 	/**
@@ -174,9 +204,9 @@
 	 * @return the ratio, 0 if none is ready
 	 */
 	double pressure(long now) {
-		FlowQueue flow = first();
-		if (flow == null) {
-			return 0;
+		FlowQueue flow = first(now);
+		if (flow == null || flow.peek().isDemoted) {
+			return (flow != null) ? 1 : 0;
 		}
 		double waited = now - flow.peek().request.arrivedNanos();
 		return waited / this.target.firstToken().toNanos();
--- a/traffic/src/main/java/org/celeryhill/traffic/FairQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FairQueue.java
@@ -105,7 +105,7 @@
 		ClassQueue chosen = isWithinWeight ? urgent.urgent(now) : best.next(now);
 		this.isOwed = urgent != null && chosen.priority != PriorityClass.URGENT;
 		this.isFirst = isWithinWeight;
-		return chosen.first();
+		return chosen.first(now);
 	}
 
 	/**
--- a/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
@@ -16,9 +16,18 @@
 	/** Route of the model. */
 	final ModelRoute route;
 
-	/** Waiting requests; some may be removed already. */
+	/** Added to the arrival order of a request that has missed its target. */
+	private static final long LATE = 1L << 60;
+
+	/** Waiting requests that can meet their target; some may be removed already. */
 	private final ArrayDeque<PendingRequest> requests = new ArrayDeque<>();
 
+	/**
+	 * Waiting requests that have missed their target. They are served after the others of
+	 * their class, since serving them first would make the others late as well.
+	 */
+	private final ArrayDeque<PendingRequest> late = new ArrayDeque<>();
+
 	/** Whether it waits for room. */
 	private boolean isBlocked;
 
@@ -61,15 +70,39 @@
 		refresh();
 	}
 
+	/**
+	 * Moves requests that have missed their target behind the others.
+	 * @param now the time in nanoseconds
+	 */
+	void demoteLate(long now) {
+		PendingRequest head = first(this.requests);
+		boolean isChanged = false;
+		while (head != null && head.isLate(now)) {
+			this.requests.pollFirst();
+			this.late.addLast(head);
+			this.parent.demoted(head);
+			isChanged = true;
+			head = first(this.requests);
+		}
+		if (isChanged) {
+			refresh();
+		}
+	}
+
+	private static PendingRequest first(ArrayDeque<PendingRequest> queue) {
+		while (!queue.isEmpty() && queue.peekFirst().state != PendingRequest.State.QUEUED) {
+			queue.pollFirst();
+		}
+		return queue.peekFirst();
+	}
+
 	/**
 	 * Returns the first request.
 	 * @return the request, null if none waits
 	 */
 	PendingRequest peek() {
-		while (!this.requests.isEmpty() && this.requests.peekFirst().state != PendingRequest.State.QUEUED) {
-			this.requests.pollFirst();
-		}
-		return this.requests.peekFirst();
+		PendingRequest head = first(this.requests);
+		return (head != null) ? head : first(this.late);
 	}
 
 	/**
@@ -77,7 +110,9 @@
 	 * @return the request
 	 */
 	PendingRequest take() {
-		PendingRequest pending = this.requests.pollFirst();
+		PendingRequest pending = peek();
+		ArrayDeque<PendingRequest> queue = this.requests.isEmpty() ? this.late : this.requests;
+		queue.pollFirst();
 		pending.state = PendingRequest.State.SENT;
 		this.parent.removed(pending);
 		refresh();
@@ -112,7 +147,7 @@
 
 	private void refresh() {
 		PendingRequest head = peek();
-		long key = (head != null && !this.isBlocked) ? head.sequence : -1;
+		long key = (head != null && !this.isBlocked) ? head.sequence + (head.isDemoted ? LATE : 0) : -1;
 		if (key != this.registered) {
 			this.parent.deregister(this);
 			this.registered = key;
--- a/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
@@ -33,6 +33,9 @@
 	/** State in the queue. */
 	State state = State.QUEUED;
 
+	/** Whether it waits behind the requests that can meet their target. */
+	boolean isDemoted;
+
 	/** Whether it was ever sent. */
 	boolean isSent;
 
@@ -85,6 +88,16 @@
 		return copy;
 	}
 
+	/**
+	 * Returns whether the target for the first token has passed. A retry is never late,
+	 * its first token may have been delivered already.
+	 * @param now the time in nanoseconds
+	 * @return true if it can no longer be met
+	 */
+	boolean isLate(long now) {
+		return !this.isSent && now - this.request.arrivedNanos() > this.target.firstToken().toNanos();
+	}
+
 	/**
 	 * Adds a backend server that gets no further attempt.
 	 * @param id the backend server
