--- /dev/null
+++ b/config/src/main/java/org/celeryhill/config/RevisionDiff.java
@@ -0,0 +1,107 @@
+package org.celeryhill.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Difference between two revisions, field by field. Stateless and thread-safe.
+ */
+public final class RevisionDiff {
+
+	private RevisionDiff() {
+	}
+
+	/**
+	 * Returns the changes that lead from one revision to another.
+	 * @param before the earlier revision, not null
+	 * @param after the later revision, not null
+	 * @return the changes in order of path, never null, empty if only the number differs
+	 */
+	public static List<Change> between(Revision before, Revision after) {
+		Map<String, String> old = flatten(Objects.requireNonNull(before, "before"));
+		Map<String, String> now = flatten(Objects.requireNonNull(after, "after"));
+		TreeSet<String> paths = new TreeSet<>(old.keySet());
+		paths.addAll(now.keySet());
+		List<Change> changes = new ArrayList<>();
+		for (String path : paths) {
+			String from = old.getOrDefault(path, "");
+			String to = now.getOrDefault(path, "");
+			if (!from.equals(to)) {
+				changes.add(new Change(path, from, to));
+			}
+		}
+		return changes;
+	}
+
+	private static Map<String, String> flatten(Revision revision) {
+		Map<String, String> fields = new TreeMap<>();
+		for (ServiceTemplate template : revision.templates()) {
+			String path = "template/" + template.service();
+			fields.put(path + "/kind", template.kind().name());
+			template.classes()
+				.forEach((priority, target) -> putTarget(fields, path + "/" + priority.toLabel(), target));
+			fields.put(path + "/weight-store", template.limits().toString());
+			template.paths()
+				.forEach((rule) -> fields.put(path + "/paths/" + rule.method() + " " + rule.path(),
+						"idempotent=" + rule.isIdempotent()));
+		}
+		for (OrganisationParameters parameters : revision.organisations()) {
+			String path = "organisation/" + parameters.organisation() + "/" + parameters.service();
+			fields.put(path + "/weight", String.valueOf(parameters.weight()));
+			fields.put(path + "/classes", parameters.classes().toString());
+			fields.put(path + "/new-system-percent", String.valueOf(parameters.newSystemPercent()));
+			parameters.keyHashes()
+				.forEach((hash) -> fields.put(path + "/key-hashes/" + hash.substring(0, 8), "present"));
+			parameters.models().forEach((model) -> fields.put(path + "/models/" + model.id(), describe(model)));
+		}
+		return fields;
+	}
+
+	private static void putTarget(Map<String, String> fields, String path, ClassTarget target) {
+		fields.put(path + "/first-token", target.firstToken().toMillis() + "ms");
+		fields.put(path + "/between-tokens", target.betweenTokens().toMillis() + "ms");
+		fields.put(path + "/deadline", target.deadline().toMillis() + "ms");
+		fields.put(path + "/value", String.valueOf(target.value()));
+		fields.put(path + "/weight", String.valueOf(target.weight()));
+		fields.put(path + "/floor", String.valueOf(target.floor()));
+	}
+
+	private static String describe(ModelSpec model) {
+		String base = model.base().map((id) -> " base=" + id).orElse("");
+		return "bytes=" + model.bytes() + base + " replicas=" + model.minReplicas() + ".." + model.maxReplicas();
+	}
+
+	/**
+	 * One changed field.
+	 *
+	 * @param path the field, not null
+	 * @param before the value before, empty if the field is new, not null
+	 * @param after the value after, empty if the field is gone, not null
+	 */
+	public record Change(String path, String before, String after) {
+
+		/** Creates a change. */
+		public Change {
+			Objects.requireNonNull(path, "path");
+			Objects.requireNonNull(before, "before");
+			Objects.requireNonNull(after, "after");
+		}
+
+		@Override
+		public String toString() {
+			if (this.before.isEmpty()) {
+				return "+ " + this.path + ": " + this.after;
+			}
+			if (this.after.isEmpty()) {
+				return "- " + this.path + ": " + this.before;
+			}
+			return "~ " + this.path + ": " + this.before + " -> " + this.after;
+		}
+
+	}
+
+}
