--- /dev/null
+++ b/http/src/main/java/org/celeryhill/http/ClientSettings.java
@@ -0,0 +1,63 @@
+package org.celeryhill.http;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Limits of the HTTP clients. Immutable and thread-safe.
+ *
+ * @param connectTimeout the longest wait for a connection, not null, positive
+ * @param answerTimeout the longest wait for a whole answer, from the start of the call,
+ * not null, positive; it does not apply to streams
+ * @param maxAnswerBytes the largest answer that is read, in bytes, positive
+ */
+public record ClientSettings(Duration connectTimeout, Duration answerTimeout, int maxAnswerBytes) {
+
+	/**
+	 * Creates settings.
+	 * @throws IllegalArgumentException if a limit is not positive
+	 */
+	public ClientSettings {
+		Objects.requireNonNull(connectTimeout, "connectTimeout");
+		Objects.requireNonNull(answerTimeout, "answerTimeout");
+		if (connectTimeout.toMillis() <= 0 || answerTimeout.toMillis() <= 0 || maxAnswerBytes <= 0) {
+			throw new IllegalArgumentException("timeouts and answer size must be positive");
+		}
+	}
+
+	/**
+	 * Returns the defaults: 500 ms to connect, 2 s for an answer, 16 MiB of answer.
+	 * @return the settings, never null
+	 */
+	public static ClientSettings defaults() {
+		return new ClientSettings(Duration.ofMillis(500), Duration.ofSeconds(2), 16 * 1024 * 1024);
+	}
+
+	/**
+	 * Returns a copy with another connect timeout.
+	 * @param timeout the timeout, not null, positive
+	 * @return the copy, never null
+	 */
+	public ClientSettings withConnectTimeout(Duration timeout) {
+		return new ClientSettings(timeout, this.answerTimeout, this.maxAnswerBytes);
+	}
+
+	/**
+	 * Returns a copy with another answer timeout.
+	 * @param timeout the timeout, not null, positive
+	 * @return the copy, never null
+	 */
+	public ClientSettings withAnswerTimeout(Duration timeout) {
+		return new ClientSettings(this.connectTimeout, timeout, this.maxAnswerBytes);
+	}
+
+	/**
+	 * Returns a copy with another limit for answers.
+	 * @param bytes the limit in bytes, positive
+	 * @return the copy, never null
+	 */
+	public ClientSettings withMaxAnswerBytes(int bytes) {
+		return new ClientSettings(this.connectTimeout, this.answerTimeout, bytes);
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/celeryhill/http/LogSetup.java
@@ -0,0 +1,59 @@
+package org.celeryhill.http;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import org.celeryhill.base.EventLog;
+
+/**
+ * Sends the log of a process to standard error, one line of key=value pairs for each
+ * event. Thread-safe.
+ */
+public final class LogSetup {
+
+	private LogSetup() {
+	}
+
+	/**
+	 * Replaces the handlers of the root logger. Called once at the start of a process.
+	 * @param level the least severe level that is written, not null
+	 */
+	public static void install(Level level) {
+		Logger root = Logger.getLogger("");
+		for (Handler handler : root.getHandlers()) {
+			root.removeHandler(handler);
+		}
+		Handler handler = new ConsoleHandler();
+		handler.setFormatter(new KeyValueFormatter());
+		handler.setLevel(level);
+		root.addHandler(handler);
+		root.setLevel(level);
+	}
+
+	/** Formats a record as one line. */
+	static final class KeyValueFormatter extends Formatter {
+
+		@Override
+		public String format(LogRecord entry) {
+			String message = formatMessage(entry);
+			String head = "time=" + entry.getInstant() + " level=" + entry.getLevel().getName() + " logger="
+					+ entry.getLoggerName() + " ";
+			String body = message.startsWith("event=") ? message : EventLog.format("message", "text", message);
+			Throwable thrown = entry.getThrown();
+			String tail = (thrown != null) ? " " + describe(thrown) : "";
+			return head + body + tail + System.lineSeparator();
+		}
+
+		private static String describe(Throwable thrown) {
+			StackTraceElement[] trace = thrown.getStackTrace();
+			String place = (trace.length > 0) ? trace[0].toString() : "";
+			return EventLog.format("x", "exception", thrown, "at", place).substring("event=x ".length());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/http/src/main/java/org/celeryhill/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP clients for the external systems and a small HTTP server toolkit for the daemons.
+ */
+package org.celeryhill.http;
