Add the stand-in process for the platform and the backend servers

Cause: the daemons need external systems to run against on one machine. Change: one process serves table, object service, host list, weight store, engines, plain services and the legacy system on loopback ports, with an admin endpoint for faults, counters, host list changes and server state.

--- a/fake/src/main/java/org/celeryhill/fake/FakeEngine.java
+++ b/fake/src/main/java/org/celeryhill/fake/FakeEngine.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -70,6 +71,12 @@
 	/** Whether the engine is to get no new work. */
 	private volatile boolean isLeaving;
 
+	/** Whether requests are served without a resident model. */
+	private volatile boolean isServingAnyModel;
+
+	/** Streams that were started. */
+	private final AtomicLong startedStreams = new AtomicLong();
+
 	/** Streams that waited or ran when the engine stopped. Guarded by this. */
 	private long droppedStreams;
 
@@ -195,9 +202,10 @@
 		if (known.isPresent()) {
 			return known.get().events(from, disturbance(fault, from));
 		}
-		if (!this.gate.apply(this.memory.report()).isReady(request.model())) {
+		if (!this.isServingAnyModel && !this.gate.apply(this.memory.report()).isReady(request.model())) {
 			return failed(request.attempt(), Failure.REFUSED, "model is not ready: " + request.model());
 		}
+		this.startedStreams.incrementAndGet();
 		return this.batch.add(request)
 			.map((stream) -> stream.events(from, disturbance(fault, from)))
 			.orElseGet(() -> failed(request.attempt(), Failure.REFUSED, "queue is full"));
@@ -270,6 +278,15 @@
 		this.isLeaving = leaving;
 	}
 
+	/**
+	 * Makes the engine serve every model, resident or not, as the legacy serving system
+	 * does.
+	 * @param isAny whether every model is served
+	 */
+	public void setServingAnyModel(boolean isAny) {
+		this.isServingAnyModel = isAny;
+	}
+
 	/**
 	 * Makes each step take longer.
 	 * @param factor 1 for the usual speed, 2 for half of it, positive
@@ -298,6 +315,14 @@
 		renewReport();
 	}
 
+	/**
+	 * Returns how many streams were started, for oracles.
+	 * @return the number of requests that were not refused for their model
+	 */
+	public long startedStreams() {
+		return this.startedStreams.get();
+	}
+
 	/**
 	 * Returns how many streams were dropped by stops of the engine, for oracles.
 	 * @return the number of streams that waited or ran
--- /dev/null
+++ b/standin/src/main/java/org/celeryhill/standin/EngineHandlers.java
@@ -0,0 +1,116 @@
+package org.celeryhill.standin;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.Execution;
+import org.celeryhill.fake.FakeEngine;
+import org.celeryhill.http.HttpErrors;
+import org.celeryhill.http.HttpServerKit;
+import org.celeryhill.http.Json;
+import org.celeryhill.http.WireMessages;
+import org.celeryhill.port.Engine;
+import org.celeryhill.port.EngineCommand;
+import org.celeryhill.port.EngineReport;
+import org.celeryhill.port.GenerateEvent;
+import org.celeryhill.port.GenerateRequest;
+
+/**
+ * Model engine over HTTP. Thread-safe.
+ */
+final class EngineHandlers {
+
+	/** Engine that is served. */
+	private final FakeEngine engine;
+
+	private EngineHandlers(FakeEngine engine) {
+		this.engine = engine;
+	}
+
+	static void add(HttpServerKit.Builder builder, FakeEngine engine) {
+		EngineHandlers handlers = new EngineHandlers(engine);
+		builder.exact("/v1/report", HttpServerKit.blocking(handlers::report));
+		builder.exact("/v1/commands", HttpServerKit.blocking(handlers::command));
+		builder.exact("/v1/cache-events", HttpServerKit.blocking(handlers::cacheEvents));
+		builder.exact("/v1/streams", handlers::generate);
+		builder.prefix("/v1/streams", handlers::stream);
+	}
+
+	private void report(HttpServerExchange exchange) {
+		Optional<EngineReport> report = this.engine.report();
+		if (report.isPresent()) {
+			HttpErrors.sendJson(exchange, 200, report.get());
+		}
+		else {
+			Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	private void command(HttpServerExchange exchange) throws IOException {
+		Optional<EngineCommand> command = Exchanges.json(exchange, EngineCommand.class);
+		if (command.isEmpty()) {
+			return;
+		}
+		Engine.CommandResult result = this.engine.send(command.get());
+		switch (result) {
+			case ACCEPTED -> HttpErrors.sendJson(exchange, 202, java.util.Map.of("accepted", true));
+			case REFUSED_TOKEN ->
+				HttpErrors.send(exchange, 409, "stale_token", "the fencing token is old", Execution.NOT_RUN);
+			case REFUSED -> HttpErrors.send(exchange, 422, "refused", "the command was refused", Execution.NOT_RUN);
+			case NOT_SENT -> Exchanges.sendNotRun(exchange, "engine is down");
+			default -> Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	private void cacheEvents(HttpServerExchange exchange) {
+		String after = Exchanges.query(exchange, "after");
+		HttpErrors.sendJson(exchange, 200, this.engine.cacheEvents(after.isEmpty() ? 0 : Long.parseLong(after)));
+	}
+
+	private void generate(HttpServerExchange exchange) {
+		exchange.getRequestReceiver().receiveFullBytes((received, bytes) -> {
+			Optional<GenerateRequest> request = Json.read(bytes, GenerateRequest.class);
+			if (request.isPresent()) {
+				send(received, this.engine.generate(request.get()));
+			}
+			else {
+				Exchanges.sendBadRequest(received, "the body is not a GenerateRequest in JSON");
+			}
+		});
+	}
+
+	private void stream(HttpServerExchange exchange) throws Exception {
+		String[] parts = exchange.getRelativePath().substring(1).split("/");
+		AttemptId attempt = AttemptId.of(parts[0]);
+		if (Exchanges.isMethod(exchange, "DELETE")) {
+			this.engine.cancel(attempt);
+			HttpErrors.sendJson(exchange, 202, java.util.Map.of("cancelled", true));
+		}
+		else if (Exchanges.isMethod(exchange, "POST")) {
+			HttpServerKit.blocking((blocking) -> move(blocking, attempt)).handleRequest(exchange);
+		}
+		else {
+			String offset = Exchanges.query(exchange, "offset");
+			send(exchange, this.engine.resume(attempt, offset.isEmpty() ? 0 : Integer.parseInt(offset)));
+		}
+	}
+
+	private void move(HttpServerExchange exchange, AttemptId attempt) throws IOException {
+		Optional<WireMessages.CacheMove> body = Exchanges.json(exchange, WireMessages.CacheMove.class);
+		if (body.isPresent()) {
+			boolean isMoved = this.engine.moveCache(attempt, body.get().target());
+			HttpErrors.sendJson(exchange, 200, new WireMessages.CacheMoveAnswer(isMoved));
+		}
+	}
+
+	private static void send(HttpServerExchange exchange, Flowable<GenerateEvent> events) {
+		exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> events.subscribe(new StreamSink(exchange)));
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/celeryhill/standin/StandinOptions.java
@@ -0,0 +1,204 @@
+package org.celeryhill.standin;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+import org.celeryhill.fake.FakeEngineMemory;
+import org.celeryhill.fake.FakeEngineSettings;
+import org.celeryhill.fake.FakeWeightStore;
+import org.celeryhill.http.SettingsChecks;
+import picocli.CommandLine.Option;
+
+/**
+ * Settings of the stand-ins, as flags and environment variables. Not thread-safe; filled
+ * by picocli before use.
+ */
+final class StandinOptions {
+
+	/** Bytes in a GiB. */
+	private static final long GIB = 1L << 30;
+
+	/** Address that all stand-ins listen on. */
+	@Option(names = "--address", defaultValue = "127.0.0.1", description = "loopback address to listen on")
+	private String address;
+
+	/** Port of the admin endpoint. */
+	@Option(names = "--admin-port", defaultValue = "0", description = "port of the admin endpoint, 0 for any")
+	private int adminPort;
+
+	/** File that the addresses are written to. */
+	@Option(names = "--addresses-file", description = "file that NAME=URI lines are written to when all listen")
+	private Path addressesFile;
+
+	/** Service of the engines. */
+	@Option(names = "--engine-service", defaultValue = "beater-llm", description = "service of the engines")
+	private String engineService;
+
+	/** Number of engines. */
+	@Option(names = "--engines", defaultValue = "8", description = "number of engines")
+	private int engines;
+
+	/** Memory of each engine. */
+	@Option(names = "--engine-memory-gib", defaultValue = "80", description = "weight memory of an engine in GiB")
+	private int engineMemoryGib;
+
+	/** Part of the memory that the legacy system holds. */
+	@Option(names = "--legacy-memory-gib", defaultValue = "0", description = "part of it held by the legacy system")
+	private int legacyMemoryGib;
+
+	/** Service of the plain service servers. */
+	@Option(names = "--plain-service", defaultValue = "dispatch", description = "service of the plain servers")
+	private String plainService;
+
+	/** Number of plain service servers. */
+	@Option(names = "--plain-servers", defaultValue = "3", description = "number of plain service servers")
+	private int plainServers;
+
+	/** Streams in a batch. */
+	@Option(names = "--slots", defaultValue = "64", description = "most streams in the batch of an engine")
+	private int slots;
+
+	/** KV cache of an engine. */
+	@Option(names = "--kv-tokens", defaultValue = "200000", description = "KV cache of an engine in tokens")
+	private long kvTokens;
+
+	/** Time of a step. */
+	@Option(names = "--step-micros", defaultValue = "15000", description = "decode step without streams in us")
+	private long stepMicros;
+
+	/** Time that a stream adds to a step. */
+	@Option(names = "--stream-micros", defaultValue = "100", description = "what a stream adds to a step in us")
+	private long streamMicros;
+
+	/** Prefill rate. */
+	@Option(names = "--prefill-rate", defaultValue = "20000", description = "prefill rate in tokens a second")
+	private double prefillRate;
+
+	/** Lag of reports. */
+	@Option(names = "--report-lag-ms", defaultValue = "500", description = "lag of reports in ms")
+	private long reportLagMillis;
+
+	/** Rate of the weight store. */
+	@Option(names = "--weight-loads-per-second", defaultValue = "1.5", description = "rate of the weight store")
+	private double weightLoadsPerSecond;
+
+	/** Concurrency of the weight store. */
+	@Option(names = "--weight-loads-at-once", defaultValue = "11", description = "loads at once at full speed")
+	private int weightLoadsAtOnce;
+
+	/** Models and adapters of the weight store. */
+	@Option(names = "--weight", paramLabel = "MODEL=BYTES[:adapter]", description = "entry of the weight store")
+	private List<String> weights = List.of();
+
+	/** Entry hosts of the host list. */
+	@Option(names = "--entry-host", paramLabel = "ID=URI", description = "entry host of the host list")
+	private List<String> entryHosts = List.of();
+
+	/** Data centres. */
+	@Option(names = "--data-centres", split = ",", defaultValue = "dc-1,dc-2,dc-3",
+			description = "data centres that the stand-ins are spread over")
+	private List<String> dataCentres;
+
+	/** Region. */
+	@Option(names = "--region", defaultValue = "bc-lower", description = "region of the data centres")
+	private String region;
+
+	/** Seed of drawn faults. */
+	@Option(names = "--seed", defaultValue = "1", description = "seed of drawn faults")
+	private long seed;
+
+	SettingsChecks check() {
+		return SettingsChecks.create()
+			.requireAddress("--address", this.address)
+			.require(this.address.startsWith("127.") || "::1".equals(this.address), "--address",
+					"stand-ins listen on loopback only")
+			.requirePort("--admin-port", this.adminPort)
+			.requireRange("--engines", this.engines, 0, 256)
+			.requireRange("--plain-servers", this.plainServers, 0, 64)
+			.requireRange("--engine-memory-gib", this.engineMemoryGib, 1, 4096)
+			.requireRange("--legacy-memory-gib", this.legacyMemoryGib, 0, this.engineMemoryGib)
+			.requireRange("--slots", this.slots, 1, 100_000)
+			.requireRange("--kv-tokens", this.kvTokens, 1, 1e12)
+			.requireRange("--step-micros", this.stepMicros, 1, 1e9)
+			.requireRange("--stream-micros", this.streamMicros, 0, 1e9)
+			.requireRange("--prefill-rate", this.prefillRate, 1, 1e9)
+			.requireRange("--report-lag-ms", this.reportLagMillis, 1, 600_000)
+			.requireRange("--weight-loads-per-second", this.weightLoadsPerSecond, 1e-3, 1e6)
+			.requireRange("--weight-loads-at-once", this.weightLoadsAtOnce, 1, 1e6)
+			.require(this.weights.stream().allMatch((text) -> text.matches("[^=]+=\\d{1,18}(:adapter)?")), "--weight",
+					"must have the form MODEL=BYTES or MODEL=BYTES:adapter")
+			.require(this.entryHosts.stream().allMatch((text) -> text.matches("[^=]+=http://.+:\\d+")), "--entry-host",
+					"must have the form ID=http://ADDRESS:PORT");
+	}
+
+	FakeEngineSettings engineSettings() {
+		return FakeEngineSettings.defaults()
+			.withBatch(this.slots, this.kvTokens, 4 * this.slots)
+			.withStep(Duration.ofNanos(this.stepMicros * 1000), Duration.ofNanos(this.streamMicros * 1000))
+			.withPrefill(this.prefillRate)
+			.withReports(Duration.ofMillis(this.reportLagMillis), 0.05);
+	}
+
+	FakeEngineMemory.Settings memorySettings(boolean isTokenChecked) {
+		return new FakeEngineMemory.Settings(this.engineMemoryGib * GIB, this.legacyMemoryGib * GIB, isTokenChecked,
+				256, Duration.ofMillis(1), Duration.ofMillis(100));
+	}
+
+	FakeWeightStore.Speed modelSpeed() {
+		return FakeWeightStore.Speed.ofRate(this.weightLoadsPerSecond, this.weightLoadsAtOnce);
+	}
+
+	String address() {
+		return this.address;
+	}
+
+	int adminPort() {
+		return this.adminPort;
+	}
+
+	Path addressesFile() {
+		return this.addressesFile;
+	}
+
+	String engineService() {
+		return this.engineService;
+	}
+
+	int engines() {
+		return this.engines;
+	}
+
+	String plainService() {
+		return this.plainService;
+	}
+
+	int plainServers() {
+		return this.plainServers;
+	}
+
+	int slots() {
+		return this.slots;
+	}
+
+	List<String> weights() {
+		return this.weights;
+	}
+
+	List<String> entryHosts() {
+		return this.entryHosts;
+	}
+
+	String dataCentre(int index) {
+		return this.dataCentres.get(index % this.dataCentres.size());
+	}
+
+	String region() {
+		return this.region;
+	}
+
+	long seed() {
+		return this.seed;
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/celeryhill/standin/StoreHandlers.java
@@ -0,0 +1,140 @@
+package org.celeryhill.standin;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.undertow.server.HttpServerExchange;
+import org.celeryhill.base.Execution;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.http.HttpErrors;
+import org.celeryhill.http.HttpServerKit;
+import org.celeryhill.http.WireMessages;
+import org.celeryhill.port.HostList;
+import org.celeryhill.port.ObjectService;
+import org.celeryhill.port.RowKey;
+import org.celeryhill.port.RowWrite;
+import org.celeryhill.port.TableService;
+import org.celeryhill.port.WeightStore;
+
+/**
+ * Table service, object service, host list and weight store over HTTP. Thread-safe.
+ */
+final class StoreHandlers {
+
+	private StoreHandlers() {
+	}
+
+	static void addTable(HttpServerKit.Builder builder, TableService table) {
+		builder.exact("/v1/row", HttpServerKit.blocking((exchange) -> readRow(exchange, table)));
+		builder.exact("/v1/rows", HttpServerKit.blocking((exchange) -> scan(exchange, table)));
+		builder.exact("/v1/transactions", HttpServerKit.blocking((exchange) -> write(exchange, table)));
+	}
+
+	private static void readRow(HttpServerExchange exchange, TableService table) {
+		RowKey key = RowKey.of(Exchanges.query(exchange, "table"), Exchanges.query(exchange, "key"));
+		TableService.ReadResult result = table.read(key);
+		if (result instanceof TableService.Found found) {
+			HttpErrors.sendJson(exchange, 200, found.row());
+		}
+		else if (result instanceof TableService.Absent) {
+			HttpErrors.send(exchange, 404, "absent", "no such row", Execution.RAN);
+		}
+		else {
+			Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	private static void scan(HttpServerExchange exchange, TableService table) {
+		TableService.ScanResult result = table.scan(Exchanges.query(exchange, "table"),
+				Exchanges.query(exchange, "prefix"));
+		if (result instanceof TableService.Rows rows) {
+			HttpErrors.sendJson(exchange, 200, new WireMessages.RowList(rows.rows()));
+		}
+		else {
+			Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	private static void write(HttpServerExchange exchange, TableService table) throws IOException {
+		Optional<WireMessages.Transaction> body = Exchanges.json(exchange, WireMessages.Transaction.class);
+		if (body.isEmpty()) {
+			return;
+		}
+		List<RowWrite> writes = body.get().writes().stream().map(WireMessages.RowChange::toWrite).toList();
+		TableService.WriteResult result = table.write(body.get().attempt(), writes);
+		if (result instanceof TableService.Written written) {
+			HttpErrors.sendJson(exchange, 200, new WireMessages.RowList(written.rows()));
+		}
+		else if (result instanceof TableService.Conflict conflict) {
+			HttpErrors.sendJson(exchange, 409, new WireMessages.ConflictAnswer(conflict.key()));
+		}
+		else if (result instanceof TableService.NotWritten notWritten) {
+			Exchanges.sendNotRun(exchange, notWritten.reason());
+		}
+		else {
+			Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	static void addObjects(HttpServerKit.Builder builder, ObjectService objects) {
+		builder.exact("/v1/object", HttpServerKit.blocking((exchange) -> {
+			if (Exchanges.isMethod(exchange, "PUT")) {
+				put(exchange, objects);
+			}
+			else {
+				get(exchange, objects);
+			}
+		}));
+	}
+
+	private static void put(HttpServerExchange exchange, ObjectService objects) throws IOException {
+		ObjectService.PutResult result = objects.put(Exchanges.query(exchange, "name"), Exchanges.body(exchange));
+		switch (result) {
+			case STORED -> HttpErrors.sendJson(exchange, 201, Map.of("stored", true));
+			case DIFFERENT ->
+				HttpErrors.send(exchange, 409, "different", "the name has another content", Execution.RAN);
+			default -> Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	private static void get(HttpServerExchange exchange, ObjectService objects) {
+		ObjectService.GetResult result = objects.get(Exchanges.query(exchange, "name"));
+		if (result instanceof ObjectService.Content content) {
+			exchange.getResponseSender().send(ByteBuffer.wrap(content.bytes()));
+		}
+		else if (result instanceof ObjectService.Missing) {
+			HttpErrors.send(exchange, 404, "missing", "no such object", Execution.RAN);
+		}
+		else {
+			Exchanges.dropAnswer(exchange);
+		}
+	}
+
+	static void addHosts(HttpServerKit.Builder builder, HostList hosts) {
+		builder.exact("/v1/hosts", HttpServerKit.blocking((exchange) -> {
+			Optional<List<HostList.Entry>> entries = hosts.read();
+			if (entries.isPresent()) {
+				HttpErrors.sendJson(exchange, 200, new WireMessages.HostEntries(entries.get()));
+			}
+			else {
+				Exchanges.dropAnswer(exchange);
+			}
+		}));
+	}
+
+	static void addWeights(HttpServerKit.Builder builder, WeightStore weights) {
+		builder.exact("/v1/weights", HttpServerKit.blocking((exchange) -> {
+			Optional<Map<ModelId, Long>> sizes = weights.sizes();
+			if (sizes.isPresent()) {
+				HttpErrors.sendJson(exchange, 200, new WireMessages.WeightSizes(sizes.get()));
+			}
+			else {
+				Exchanges.dropAnswer(exchange);
+			}
+		}));
+	}
+
+}
