Add the operator command line

Cause: operators drive the system by revisions and planned stops and need to see conflicts, findings and unknown outcomes without reading the stores.

Change: check, diff, apply, get, history, plan-stop, status, dump, explain, hash-key and shell completion over picocli; text or JSON output; exit codes 0 done, 1 refused, 2 invalid, 3 unavailable. Every flag has an environment variable.

Conclusion: two operators with the same base revision get one winner and one conflict that says how to go on.

--- /dev/null
+++ b/cli/src/main/java/org/celeryhill/cli/CeleryhillMain.java
@@ -0,0 +1,60 @@
+package org.celeryhill.cli;
+
+import java.io.PrintWriter;
+
+import org.celeryhill.http.EnvironmentDefaults;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * Operator command-line interface {@code celeryhill}. Operators edit templates and
+ * parameters and plan stops; they never place models by hand.
+ */
+@Command(name = "celeryhill", mixinStandardHelpOptions = true, version = "celeryhill 0.1.0",
+		description = "Operates celeryhill. Each flag --x-y can be given as the environment variable CELERYHILL_X_Y.",
+		subcommands = { CheckCommand.class, DiffCommand.class, ApplyCommand.class, GetCommand.class,
+				HistoryCommand.class, PlanStopCommand.class, StatusCommand.class, DumpCommand.class,
+				ExplainCommand.class, HashKeyCommand.class, AutoComplete.GenerateCompletion.class },
+		exitCodeListHeading = "Exit codes:%n", exitCodeList = { "0:done", "1:refused, such as a conflict",
+				"2:errors in the command line or the files", "3:a service did not answer" })
+public final class CeleryhillMain {
+
+	private CeleryhillMain() {
+	}
+
+	/**
+	 * Runs the command line and exits with its status.
+	 * @param arguments the arguments, not null
+	 */
+	public static void main(String[] arguments) {
+		System.exit(create().execute(arguments));
+	}
+
+	/**
+	 * Returns the command line.
+	 * @return the command line, never null
+	 */
+	public static CommandLine create() {
+		CommandLine commandLine = new CommandLine(new CeleryhillMain());
+		commandLine.setDefaultValueProvider(new EnvironmentDefaults());
+		commandLine.getSubcommands()
+			.values()
+			.forEach((subcommand) -> subcommand.setDefaultValueProvider(new EnvironmentDefaults()));
+		commandLine.setCaseInsensitiveEnumValuesAllowed(true);
+		commandLine.setExecutionExceptionHandler((failure, failed, parsed) -> report(failure, failed.getErr()));
+		return commandLine;
+	}
+
+	private static int report(Exception failure, PrintWriter err) {
+		if (failure instanceof IllegalArgumentException || failure instanceof java.io.UncheckedIOException) {
+			err.println(failure.getMessage());
+			err.flush();
+			return ExitCode.INVALID.toStatus();
+		}
+		failure.printStackTrace(err);
+		err.flush();
+		return ExitCode.UNAVAILABLE.toStatus();
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/celeryhill/cli/DumpCommand.java
@@ -0,0 +1,32 @@
+package org.celeryhill.cli;
+
+import java.net.URI;
+import java.util.Optional;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Prints the state of one daemon.
+ */
+@Command(name = "dump", mixinStandardHelpOptions = true, description = "Prints the state of one daemon as JSON.")
+final class DumpCommand extends AbstractCommand {
+
+	/** Admin port of the daemon. */
+	@Parameters(paramLabel = "ADMIN-URL", description = "Admin port of the daemon, such as http://127.0.0.1:8090.")
+	private URI admin;
+
+	@Override
+	ExitCode run() {
+		AdminClient client = AdminClient.of(this.admin);
+		Optional<String> dump = client.get("/admin/dump", "", "");
+		if (dump.isEmpty()) {
+			fail(client.failure());
+			return ExitCode.UNAVAILABLE;
+		}
+		out().println(dump.get());
+		out().flush();
+		return ExitCode.OK;
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/celeryhill/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operator command-line interface.
+ */
+package org.celeryhill.cli;
--- /dev/null
+++ b/cli/src/test/java/org/celeryhill/cli/CeleryhillMainTests.java
@@ -0,0 +1,158 @@
+package org.celeryhill.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.celeryhill.standin.StandinMain;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.MethodOrderer;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestMethodOrder;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the command-line interface against the stand-ins of the table and object
+ * service. The tests build on each other's revisions.
+ */
+@TestMethodOrder(MethodOrderer.OrderAnnotation.class)
+class CeleryhillMainTests {
+
+	private static final String DEMO = "../examples/demo";
+
+	@TempDir
+	private static Path directory;
+
+	private static Thread standins;
+
+	private static List<String> stores;
+
+	@BeforeAll
+	static void startStandins() throws IOException, InterruptedException {
+		Path addresses = directory.resolve("addresses");
+		standins = new Thread(() -> new CommandLine(new StandinMain()).execute("--engines", "1", "--plain-servers", "1",
+				"--addresses-file", addresses.toString()), "standins");
+		standins.setDaemon(true);
+		standins.start();
+		for (int i = 0; i < 200 && !Files.exists(addresses); i++) {
+			Thread.sleep(50);
+		}
+		Map<String, String> uris = Files.readAllLines(addresses)
+			.stream()
+			.map((line) -> line.split("=", 2))
+			.collect(Collectors.toMap((parts) -> parts[0], (parts) -> parts[1]));
+		stores = List.of("--table-url", uris.get("table"), "--object-url", uris.get("object"));
+	}
+
+	@AfterAll
+	static void stopStandins() {
+		standins.interrupt();
+	}
+
+	private static Result run(String command, String... arguments) {
+		List<String> line = new ArrayList<>(List.of(command));
+		line.addAll(List.of(arguments));
+		StringWriter out = new StringWriter();
+		StringWriter err = new StringWriter();
+		int status = CeleryhillMain.create()
+			.setOut(new PrintWriter(out))
+			.setErr(new PrintWriter(err))
+			.execute(line.toArray(String[]::new));
+		return new Result(status, out.toString(), err.toString());
+	}
+
+	private static Result runWithStores(String command, String... arguments) {
+		List<String> line = new ArrayList<>(stores);
+		line.addAll(List.of(arguments));
+		return run(command, line.toArray(String[]::new));
+	}
+
+	/** Guards against a command that needs a service although it only reads files. */
+	@Test
+	@Order(1)
+	void checkNeedsNoService() {
+		assertThat(run("check", DEMO, "--output", "json").out()).contains("\"organisations\" : 4");
+	}
+
+	/** Guards against a finding that does not stop the command or has no place. */
+	@Test
+	@Order(2)
+	void findingsAreReportedAndNothingIsApplied() throws IOException {
+		Path file = Files.writeString(directory.resolve("bad.yaml"), "organisation: x\nservice: y\nclasses: [fast]\n");
+		Result result = runWithStores("apply", file.toString());
+		assertThat(result.status()).isEqualTo(2);
+		assertThat(result.err()).contains("bad.yaml:3 classes[0]: error: unknown priority class 'fast'");
+		assertThat(runWithStores("get").err()).contains("no revision has been accepted yet");
+	}
+
+	/** Guards against a second operator who overwrites the change of the first. */
+	@Test
+	@Order(3)
+	void secondOperatorGetsConflict() {
+		assertThat(runWithStores("diff", DEMO).out()).contains("organisation/mill-a/beater-llm/weight");
+		assertThat(runWithStores("apply", DEMO, "--expect", "0", "--author", "first").status()).isZero();
+		Result second = runWithStores("apply", DEMO, "--expect", "0", "--author", "second");
+		assertThat(second.status()).isEqualTo(1);
+		assertThat(second.err()).contains("conflict: revision 1 was accepted meanwhile");
+		assertThat(runWithStores("history").out()).contains("first").doesNotContain("second");
+		assertThat(runWithStores("diff", DEMO, "--output", "json").out()).isEqualToIgnoringNewLines("[ ]");
+	}
+
+	/** Guards against files that come back changed. */
+	@Test
+	@Order(4)
+	void filesAreReturnedAsApplied() throws IOException {
+		Path target = directory.resolve("copy");
+		assertThat(runWithStores("get", "1", "--to", target.toString()).status()).isZero();
+		assertThat(Files.readString(target.resolve("mill-a.yaml")))
+			.isEqualTo(Files.readString(Path.of(DEMO, "mill-a.yaml")));
+	}
+
+	/** Guards against a planned stop that cannot be taken back or is lost. */
+	@Test
+	@Order(5)
+	void plannedStopIsAnnouncedAndCancelled() {
+		assertThat(runWithStores("plan-stop", "backend-server", "beater-llm-1", "--reason", "repair").out())
+			.contains("ANNOUNCED", "repair");
+		assertThat(runWithStores("status").out()).contains("backend_server/beater-llm-1", "ANNOUNCED");
+		Result clear = runWithStores("plan-stop", "backend-server", "beater-llm-1", "--action", "clear");
+		assertThat(clear.status()).isEqualTo(1);
+		assertThat(runWithStores("plan-stop", "backend-server", "beater-llm-1", "--action", "cancel").out())
+			.contains("CANCELLED");
+	}
+
+	/** Guards against a store outage that looks like success. */
+	@Test
+	@Order(6)
+	void unreachableStoreIsReported() {
+		Result result = run("apply", DEMO, "--table-url", "http://127.0.0.1:1", "--object-url", "http://127.0.0.1:1");
+		assertThat(result.status()).isEqualTo(3);
+		assertThat(result.err()).contains("store unavailable").contains("nothing was changed");
+		assertThat(result.err()).doesNotContain("\tat ");
+	}
+
+	/** Guards against an error that does not say what is missing. */
+	@Test
+	@Order(7)
+	void missingFlagIsNamed() {
+		Result result = run("history");
+		assertThat(result.status()).isEqualTo(2);
+		assertThat(result.err()).contains("--table-url");
+	}
+
+	private record Result(int status, String out, String err) {
+
+	}
+
+}
