--- /dev/null
+++ b/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
@@ -0,0 +1,388 @@
+package org.celeryhill.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.Execution;
+import org.celeryhill.port.Engine;
+import org.celeryhill.port.GenerateEvent;
+import org.celeryhill.port.GenerateRequest;
+import org.celeryhill.traffic.AttemptOutcome;
+import org.celeryhill.traffic.TrafficAction;
+
+/**
+ * Brings one generation from the engines to the caller. Events of other attempts are
+ * dropped, offsets must be contiguous, and only an end marker with the right number of
+ * tokens ends the answer. A broken stream is resumed on its engine, else continued on
+ * another one. Thread-safe; its lock is taken before that of {@link TrafficGate}.
+ */
+final class StreamRelay implements AttemptRouter.Listener {
+
+	/** Log of this class. */
+	private static final EventLog LOG = EventLog.of(StreamRelay.class);
+
+	/** Time after which a caller may repeat a request whose backend server failed. */
+	private static final Duration RETRY_AFTER_FAILURE = Duration.ofSeconds(1);
+
+	/** Request. */
+	private final GenerationJob job;
+
+	/** Where the answer goes. */
+	private final AnswerSink sink;
+
+	/** Decides where attempts run. */
+	private final AttemptRouter router;
+
+	/** What all generations share. */
+	private final GenerationContext context;
+
+	/** Called once when the request has ended. */
+	private final Runnable onDone;
+
+	/** Answer so far. */
+	private final AnswerText answer;
+
+	/** Attempts that run; more than one only while hedged and without a token. */
+	private final Map<AttemptId, EngineAttempt> attempts = new LinkedHashMap<>(2);
+
+	/** Whether an attempt may have run that is no longer among the attempts. */
+	private boolean mayHaveRun;
+
+	/** Whether the request has ended. */
+	private boolean isDone;
+
+	StreamRelay(GenerationJob job, AnswerText answer, AnswerSink sink, AttemptRouter router, GenerationContext context,
+			Runnable onDone) {
+		this.job = Objects.requireNonNull(job, "job");
+		this.answer = Objects.requireNonNull(answer, "answer");
+		this.sink = Objects.requireNonNull(sink, "sink");
+		this.router = Objects.requireNonNull(router, "router");
+		this.context = Objects.requireNonNull(context, "context");
+		this.onDone = Objects.requireNonNull(onDone, "onDone");
+	}
+
+	GenerationJob job() {
+		return this.job;
+	}
+
+	/** Starts a new answer. */
+	synchronized void start() {
+		submit(this.router.offer(this.job.toTraffic(0), this));
+	}
+
+	/**
+	 * Continues a stream that another connection started.
+	 * @param origin the position to continue from, not null
+	 */
+	synchronized void resume(EventId origin) {
+		this.mayHaveRun = true;
+		Optional<Engine> engine = this.context.engines().apply(origin.engine());
+		EngineAttempt attempt = new EngineAttempt(origin.attempt(), origin.engine(), engine.orElse(MissingEngine.INSTANCE),
+				origin.firstOffset(), false);
+		this.attempts.put(attempt.id(), attempt);
+		attempt.takeResume();
+		readAgain(attempt);
+	}
+
+	@Override
+	public synchronized void onSend(TrafficAction.Send send) {
+		Optional<Engine> engine = this.context.engines().apply(send.backend());
+		boolean isLate = !this.attempts.isEmpty() && (!send.isHedge() || hasToken());
+		if (this.isDone || isLate) {
+			this.router.finish(send.attempt(), AttemptOutcome.CANCELLED);
+			return;
+		}
+		EngineAttempt attempt = new EngineAttempt(send.attempt(), send.backend(),
+				engine.orElse(MissingEngine.INSTANCE), this.answer.offset(), true);
+		this.attempts.put(attempt.id(), attempt);
+		GenerateRequest request = new GenerateRequest(attempt.id(), this.job.model(), this.job.prompt().orElse(""),
+				this.answer.text(), this.answer.offset(), this.job.maxTokens(), this.job.seed(), this.job.priority());
+		LOG.debug("attempt_sent", "request", this.job.id(), "attempt", attempt.id(), "backend", attempt.backend(),
+				"offset", attempt.firstOffset());
+		attempt.read(attempt.engine().generate(request), EngineAttempt.Phase.FIRST_TOKEN, this, now());
+	}
+
+	@Override
+	public synchronized void onRefuse(TrafficAction.Refuse refuse) {
+		submit(Optional.of(refuse));
+	}
+
+	/**
+	 * Takes an event of an attempt.
+	 * @param attempt the attempt that was asked, not null
+	 * @param reader the subscription, not null
+	 * @param event the event, not null
+	 */
+	synchronized void onEvent(EngineAttempt attempt, Disposable reader, GenerateEvent event) {
+		if (isStale(attempt, reader)) {
+			return;
+		}
+		if (!event.attempt().equals(attempt.id())) {
+			this.context.metrics().foreignEvent();
+			LOG.warn("foreign_event_dropped", "request", this.job.id(), "attempt", attempt.id(), "event",
+					event.attempt(), "backend", attempt.backend());
+			return;
+		}
+		if (event instanceof GenerateEvent.Token token) {
+			onToken(attempt, token);
+		}
+		else if (event instanceof GenerateEvent.End end) {
+			onEnd(attempt, end);
+		}
+		else if (event instanceof GenerateEvent.Failed failed) {
+			onFailed(attempt, failed);
+		}
+	}
+
+	/**
+	 * Takes note that a connection ended without an end marker.
+	 * @param attempt the attempt, not null
+	 * @param reader the subscription, not null
+	 * @param detail what happened, not null
+	 */
+	synchronized void onBroken(EngineAttempt attempt, Disposable reader, String detail) {
+		if (!isStale(attempt, reader)) {
+			repair(attempt, detail);
+		}
+	}
+
+	/**
+	 * Checks the timeouts of all attempts.
+	 * @param now the time in nanoseconds
+	 */
+	synchronized void checkTimeouts(long now) {
+		for (EngineAttempt attempt : List.copyOf(this.attempts.values())) {
+			if (this.isDone || attempt.idleNanos(now) <= this.context.limits().nanos(attempt.phase())) {
+				continue;
+			}
+			switch (attempt.phase()) {
+				case FIRST_TOKEN -> moveOn(attempt, AttemptOutcome.BROKEN, true, "no first token in time");
+				case RESUMED -> moveOn(attempt, AttemptOutcome.BROKEN, true, "no answer to the resumption in time");
+				case NEXT_TOKEN -> repair(attempt, "no next token in time");
+			}
+		}
+	}
+
+	/** Ends the request since its caller is gone. */
+	synchronized void cancel() {
+		if (this.isDone) {
+			return;
+		}
+		endAttempts(true);
+		this.context.metrics().generationEnded("caller_gone");
+		done();
+	}
+
+	/**
+	 * Ends the connection to the caller during shutdown. A stream goes on at its engine
+	 * and can be resumed through another daemon.
+	 */
+	synchronized void handOver() {
+		if (this.isDone) {
+			return;
+		}
+		if (this.attempts.isEmpty() || !this.sink.isResumable()) {
+			fail(ApiError
+				.of(ErrorCode.SHUTTING_DOWN, "This daemon is stopping; send the request again.", execution())
+				.withRetryAfter(RETRY_AFTER_FAILURE), "handed_over");
+			return;
+		}
+		EventId position = position(this.attempts.values().iterator().next());
+		endAttempts(false);
+		this.context.metrics().generationEnded("handed_over");
+		this.sink.handOver(position);
+		done();
+	}
+
+	private void onToken(EngineAttempt attempt, GenerateEvent.Token token) {
+		AnswerText.Step step = this.answer.append(token.offset(), token.text());
+		switch (step) {
+			case DELIVER, HIDDEN -> {
+				cancelOthers(attempt);
+				attempt.onNewToken(now());
+				this.router.progress(attempt.id(), this.answer.offset());
+				if (step == AnswerText.Step.DELIVER) {
+					deliver(attempt, token.text());
+				}
+			}
+			case REPEATED -> LOG.debug("token_repeated", "request", this.job.id(), "offset", token.offset());
+			case GAP -> repair(attempt, "token " + token.offset() + " instead of " + this.answer.offset());
+			case DIVERGED -> diverged();
+		}
+	}
+
+	private void deliver(EngineAttempt attempt, String text) {
+		if (this.answer.offset() == 1) {
+			double seconds = (now() - this.job.arrivedNanos()) / 1e9;
+			this.context.metrics().firstToken(this.job.priority().toLabel(), seconds);
+		}
+		this.context.metrics().token();
+		this.sink.token(position(attempt), text);
+	}
+
+	private void onEnd(EngineAttempt attempt, GenerateEvent.End end) {
+		if (end.tokens() != this.answer.offset()) {
+			repair(attempt, "end marker for " + end.tokens() + " tokens after " + this.answer.offset());
+			return;
+		}
+		if (this.answer.isBehind()) {
+			diverged();
+			return;
+		}
+		cancelOthers(attempt);
+		this.attempts.remove(attempt.id());
+		attempt.disconnect();
+		this.router.finish(attempt.id(), AttemptOutcome.COMPLETED);
+		this.context.metrics().generationEnded("completed");
+		this.sink.end(position(attempt), end.finishReason());
+		done();
+	}
+
+	private void onFailed(EngineAttempt attempt, GenerateEvent.Failed failed) {
+		boolean isFirst = attempt.phase() == EngineAttempt.Phase.FIRST_TOKEN;
+		switch (failed.failure()) {
+			case NOT_SENT -> moveOn(attempt, AttemptOutcome.UNREACHABLE, !isFirst, failed.detail());
+			case REFUSED -> moveOn(attempt, AttemptOutcome.REFUSED, !isFirst, failed.detail());
+			case UNKNOWN_STREAM -> moveOn(attempt, AttemptOutcome.BROKEN, true, failed.detail());
+			case BROKEN -> repair(attempt, failed.detail());
+		}
+	}
+
+	/** Resumes an attempt on its engine, or gives it up. */
+	private void repair(EngineAttempt attempt, String detail) {
+		if (!attempt.takeResume()) {
+			moveOn(attempt, AttemptOutcome.BROKEN, true, detail);
+			return;
+		}
+		this.context.metrics().streamResumed();
+		LOG.info("stream_resumed", "request", this.job.id(), "attempt", attempt.id(), "backend", attempt.backend(),
+				"offset", this.answer.offset(), "reason", detail);
+		readAgain(attempt);
+	}
+
+	private void readAgain(EngineAttempt attempt) {
+		attempt.read(attempt.engine().resume(attempt.id(), this.answer.offset()), EngineAttempt.Phase.RESUMED, this,
+				now());
+	}
+
+	/** Gives up an attempt and continues on another engine unless a hedge runs. */
+	private void moveOn(EngineAttempt attempt, AttemptOutcome outcome, boolean ran, String detail) {
+		LOG.info("attempt_failed", "request", this.job.id(), "attempt", attempt.id(), "backend", attempt.backend(),
+				"outcome", outcome, "offset", this.answer.offset(), "reason", detail);
+		this.attempts.remove(attempt.id());
+		this.mayHaveRun |= ran;
+		if (ran) {
+			attempt.cancel();
+		}
+		else {
+			attempt.disconnect();
+		}
+		this.router.finish(attempt.id(), outcome);
+		if (this.attempts.isEmpty()) {
+			continueElsewhere(attempt);
+		}
+	}
+
+	private void continueElsewhere(EngineAttempt failed) {
+		if (this.job.prompt().isEmpty()) {
+			fail(ApiError.of(ErrorCode.STREAM_NOT_RESUMABLE,
+					"The engine no longer holds this stream; send the original request again with this Last-Event-ID.",
+					execution()), "not_resumable");
+			return;
+		}
+		if (!this.answer.isKnown()) {
+			this.answer.restart();
+		}
+		this.context.metrics().streamContinued();
+		int delivered = this.answer.offset();
+		submit(failed.isRouted() ? this.router.retry(this.job.toTraffic(delivered), failed.id())
+				: this.router.offer(this.job.toTraffic(delivered), this));
+	}
+
+	private void submit(Optional<TrafficAction.Refuse> refused) {
+		refused.filter((refuse) -> !this.isDone && this.attempts.isEmpty())
+			.ifPresent((refuse) -> fail(ApiError.of(refuse, execution()), refuse.reason().toCode()));
+	}
+
+	private void diverged() {
+		endAttempts(true);
+		fail(ApiError.of(ErrorCode.STREAM_DIVERGED,
+				"The repeated answer differs from the delivered part; send the request without Last-Event-ID.",
+				Execution.RAN), "diverged");
+	}
+
+	private void fail(ApiError error, String outcome) {
+		endAttempts(true);
+		this.context.metrics().generationEnded(outcome);
+		this.sink.fail(error);
+		done();
+	}
+
+	private void cancelOthers(EngineAttempt winner) {
+		if (this.attempts.size() > 1) {
+			for (EngineAttempt other : new ArrayList<>(this.attempts.values())) {
+				if (other != winner) {
+					this.attempts.remove(other.id());
+					other.cancel();
+					this.router.finish(other.id(), AttemptOutcome.CANCELLED);
+				}
+			}
+		}
+	}
+
+	private void endAttempts(boolean isCancelled) {
+		for (EngineAttempt attempt : this.attempts.values()) {
+			if (isCancelled) {
+				attempt.cancel();
+			}
+			else {
+				attempt.disconnect();
+			}
+			this.router.finish(attempt.id(), AttemptOutcome.CANCELLED);
+		}
+		this.attempts.clear();
+	}
+
+	private void done() {
+		this.isDone = true;
+		this.router.close(this.job.id());
+		this.onDone.run();
+	}
+
+	private Execution execution() {
+		if (this.answer.deliveredTokens() > 0) {
+			return Execution.RAN;
+		}
+		return (this.mayHaveRun || !this.attempts.isEmpty()) ? Execution.UNKNOWN : Execution.NOT_RUN;
+	}
+
+	private EventId position(EngineAttempt attempt) {
+		return new EventId(this.job.id(), this.job.organisation(), this.job.model(), this.job.shape(),
+				this.job.system(), attempt.backend(), attempt.id(), attempt.firstOffset(),
+				this.answer.deliveredTokens(), this.job.seed(), this.answer.deliveredHash(),
+				this.job.createdSeconds(), this.job.digest());
+	}
+
+	private boolean hasToken() {
+		return this.attempts.values()
+			.stream()
+			.anyMatch((attempt) -> attempt.phase() != EngineAttempt.Phase.FIRST_TOKEN);
+	}
+
+	private boolean isStale(EngineAttempt attempt, Disposable reader) {
+		return this.isDone || this.attempts.get(attempt.id()) != attempt || !attempt.isCurrent(reader);
+	}
+
+	private long now() {
+		return this.context.timer().nanoTime();
+	}
+
+}
