--- /dev/null
+++ b/entry/src/main/java/org/celeryhill/entry/AnswerFormat.java
@@ -0,0 +1,121 @@
+package org.celeryhill.entry;
+
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Writes the answers of one generation in the form of the OpenAI API. Immutable and
+ * thread-safe.
+ */
+final class AnswerFormat {
+
+	/** Last event of a whole stream. */
+	static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
+
+	/** Request whose answer is written. */
+	private final GenerationJob job;
+
+	/** Start of every part up to the choice. */
+	private final String head;
+
+	AnswerFormat(GenerationJob job) {
+		this.job = job;
+		this.head = "\ndata: {\"id\":\"" + answerId() + "\",\"object\":\"" + job.shape().chunkObject()
+				+ "\",\"created\":" + job.createdSeconds() + ",\"model\":\"" + quote(job.model().value())
+				+ "\",\"choices\":[{\"index\":0,";
+	}
+
+	/**
+	 * Returns the event of one token.
+	 * @param eventId the signed event id, not null
+	 * @param text the text of the token, not null
+	 * @return the event, never null
+	 */
+	byte[] token(String eventId, String text) {
+		String content = (this.job.shape() == ApiShape.CHAT) ? "\"delta\":{\"content\":\"" + quote(text) + "\"}"
+				: "\"text\":\"" + quote(text) + "\"";
+		return event(eventId, content, "null");
+	}
+
+	/**
+	 * Returns the event that says why the answer ended.
+	 * @param eventId the signed event id, not null
+	 * @param finishReason the reason, not null
+	 * @return the event, never null
+	 */
+	byte[] finish(String eventId, String finishReason) {
+		String content = (this.job.shape() == ApiShape.CHAT) ? "\"delta\":{}" : "\"text\":\"\"";
+		return event(eventId, content, "\"" + quote(finishReason) + "\"");
+	}
+
+	private byte[] event(String eventId, String content, String finishReason) {
+		String event = "id: " + eventId + this.head + content + ",\"finish_reason\":" + finishReason + "}]}\n\n";
+		return event.getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Returns the event of an error after the stream has begun.
+	 * @param error the error, not null
+	 * @return the event, never null
+	 */
+	byte[] error(ApiError error) {
+		String event = "event: error\ndata: " + error.toJson(this.job.answerId()) + "\n\n";
+		return event.getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Returns the event that tells the caller to resume through another daemon.
+	 * @param eventId the signed event id, not null
+	 * @return the event, never null
+	 */
+	byte[] handOver(String eventId) {
+		ObjectNode document = JsonNodeFactory.instance.objectNode();
+		ObjectNode body = document.putObject("handover");
+		body.put("message", "This daemon is stopping; resume with this event id as Last-Event-ID.");
+		body.put("resume", "/v1/streams/resume");
+		body.put("request_id", this.job.answerId().value());
+		String event = "id: " + eventId + "\nevent: handover\ndata: " + document + "\n\n";
+		return event.getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Returns the document of a whole answer.
+	 * @param text the text, not null
+	 * @param tokens the tokens of the answer
+	 * @param finishReason why it ended, not null
+	 * @return the document, never null
+	 */
+	ObjectNode whole(String text, int tokens, String finishReason) {
+		ObjectNode document = JsonNodeFactory.instance.objectNode();
+		document.put("id", answerId());
+		document.put("object", this.job.shape().wholeObject());
+		document.put("created", this.job.createdSeconds());
+		document.put("model", this.job.model().value());
+		ObjectNode choice = document.putArray("choices").addObject();
+		choice.put("index", 0);
+		if (this.job.shape() == ApiShape.CHAT) {
+			choice.putObject("message").put("role", "assistant").put("content", text);
+		}
+		else {
+			choice.put("text", text);
+		}
+		choice.put("finish_reason", finishReason);
+		ObjectNode usage = document.putObject("usage");
+		usage.put("prompt_tokens", this.job.promptTokens());
+		usage.put("completion_tokens", tokens);
+		usage.put("total_tokens", this.job.promptTokens() + tokens);
+		return document;
+	}
+
+	private String answerId() {
+		return this.job.shape().idPrefix() + quote(this.job.answerId().value());
+	}
+
+	private static String quote(String text) {
+		return new String(JsonStringEncoder.getInstance().quoteAsString(text));
+	}
+
+}
--- a/entry/src/main/java/org/celeryhill/entry/GenerationJob.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationJob.java
@@ -15,8 +15,9 @@
  * A request for generated text after authentication and checks. Immutable and
  * thread-safe.
  *
- * @param id the request that the answer is named after; a resumed stream keeps the first
- * one, not null
+ * @param id the request under which admission and routing know the job, not null
+ * @param answerId the request that the answer is named after; a resumed stream keeps the
+ * first one, not null
  * @param organisation the organisation, not null
  * @param service the service that serves the model, not null
  * @param model the model, not null
@@ -32,7 +33,7 @@
  * @param digest the digest of the request, not null; not copied
  * @param arrivedNanos when the request arrived, monotonic nanoseconds
  */
-record GenerationJob(RequestId id, OrganisationId organisation, ServiceId service, ModelId model,
+record GenerationJob(RequestId id, RequestId answerId, OrganisationId organisation, ServiceId service, ModelId model,
 		PriorityClass priority, ApiShape shape, Optional<String> prompt, List<Long> prefixHashes, int maxTokens,
 		long seed, boolean isStream, ServingSystem system, long createdSeconds, byte[] digest, long arrivedNanos) {
 
@@ -41,6 +42,7 @@
 
 	GenerationJob {
 		Objects.requireNonNull(id, "id");
+		Objects.requireNonNull(answerId, "answerId");
 		Objects.requireNonNull(organisation, "organisation");
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(model, "model");
@@ -77,7 +79,7 @@
 	 * @return the copy, never null
 	 */
 	GenerationJob resuming(EventId origin) {
-		return new GenerationJob(origin.request(), this.organisation, this.service, this.model, this.priority,
+		return new GenerationJob(this.id, origin.request(), this.organisation, this.service, this.model, this.priority,
 				this.shape, this.prompt, this.prefixHashes, this.maxTokens, origin.seed(), this.isStream,
 				origin.system(), origin.createdSeconds(), this.digest, this.arrivedNanos);
 	}
--- a/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
+++ b/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
@@ -202,6 +202,19 @@
 		done();
 	}
 
+	/**
+	 * Ends the request without an answer since another connection has resumed its stream.
+	 */
+	synchronized void supersede() {
+		if (!this.isDone) {
+			endAttempts(false);
+			this.context.metrics().generationEnded("superseded");
+			this.sink.fail(ApiError.of(ErrorCode.STREAM_NOT_RESUMABLE,
+					"The stream was resumed on another connection; read it there.", Execution.RAN));
+			done();
+		}
+	}
+
 	private void onToken(EngineAttempt attempt, GenerateEvent.Token token) {
 		AnswerText.Step step = this.answer.append(token.offset(), token.text());
 		switch (step) {
@@ -365,7 +378,7 @@
 	}
 
 	private EventId position(EngineAttempt attempt) {
-		return new EventId(this.job.id(), this.job.organisation(), this.job.model(), this.job.shape(),
+		return new EventId(this.job.answerId(), this.job.organisation(), this.job.model(), this.job.shape(),
 				this.job.system(), attempt.backend(), attempt.id(), attempt.firstOffset(),
 				this.answer.deliveredTokens(), this.job.seed(), this.answer.deliveredHash(),
 				this.job.createdSeconds(), this.job.digest());
