--- a/entry/src/main/java/org/celeryhill/entry/ApiRoot.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiRoot.java
@@ -11,6 +11,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import org.celeryhill.base.EventLog;
+import org.celeryhill.base.Execution;
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.OrganisationId;
 
@@ -89,7 +90,7 @@
 			reject(api, ex.error());
 		}
 		catch (RuntimeException ex) {
-			fault(api, ex);
+			reject(api, fault(api, ex));
 		}
 	}
 
@@ -166,15 +167,15 @@
 			api.error(ex.error());
 		}
 		catch (RuntimeException ex) {
-			fault(api, ex);
+			api.error(fault(api, ex));
 		}
 	}
 
-	private void fault(ApiExchange api, RuntimeException fault) {
+	private static ApiError fault(ApiExchange api, RuntimeException fault) {
 		LOG.warn("request_fault", "request", api.id(), "fault", fault, "at",
 				(fault.getStackTrace().length > 0) ? fault.getStackTrace()[0] : "");
-		api.error(ApiError.of(ErrorCode.INTERNAL, "Unexpected fault; report the request id to the operator.",
-				org.celeryhill.base.Execution.UNKNOWN));
+		return ApiError.of(ErrorCode.INTERNAL, "Unexpected fault; report the request id to the operator.",
+				Execution.UNKNOWN);
 	}
 
 	private void reject(ApiExchange api, ApiError error) {
--- a/entry/src/main/java/org/celeryhill/entry/AttemptRouter.java
+++ b/entry/src/main/java/org/celeryhill/entry/AttemptRouter.java
@@ -33,7 +33,7 @@
 	/**
 	 * Takes note of tokens of an attempt.
 	 * @param attempt the attempt, not null
-	 * @param tokens the tokens of the answer so far
+	 * @param tokens the tokens that the attempt has generated so far
 	 */
 	void progress(AttemptId attempt, int tokens);
 
--- a/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
+++ b/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
@@ -221,7 +221,7 @@
 			case DELIVER, HIDDEN -> {
 				cancelOthers(attempt);
 				attempt.onNewToken(now());
-				this.router.progress(attempt.id(), this.answer.offset());
+				this.router.progress(attempt.id(), this.answer.offset() - attempt.firstOffset());
 				if (step == AnswerText.Step.DELIVER) {
 					deliver(attempt, token.text());
 				}
