--- a/entry/src/main/java/org/celeryhill/entry/ApiRoot.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiRoot.java
@@ -27,7 +27,9 @@
 	/** Path below which plain services are. */
 	private static final String SERVICES = "/v1/services/";
 
-	/** Time after which a caller may repeat a request that this daemon has no room for. */
+	/**
+	 * Time after which a caller may repeat a request that this daemon has no room for.
+	 */
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
 	/** Configuration in force. */
@@ -101,9 +103,9 @@
 				.withRetryAfter(RETRY_AFTER));
 		}
 		if (count > this.limits.maxRequests()) {
-			throw new ApiException(ApiError
-				.notRun(ErrorCode.OVERLOADED, "This daemon holds as many requests as it can; retry later.")
-				.withRetryAfter(RETRY_AFTER));
+			throw new ApiException(
+					ApiError.notRun(ErrorCode.OVERLOADED, "This daemon holds as many requests as it can; retry later.")
+						.withRetryAfter(RETRY_AFTER));
 		}
 	}
 
@@ -135,8 +137,8 @@
 	private void generation(ApiExchange api, OrganisationId organisation, CallerIndex current, ApiShape shape)
 			throws ApiException {
 		requireMethod(api.exchange(), "POST");
-		this.bodies.read(api, (body) -> guarded(api,
-				() -> this.generations.generate(api, organisation, current, shape, body)));
+		this.bodies.read(api,
+				(body) -> guarded(api, () -> this.generations.generate(api, organisation, current, shape, body)));
 	}
 
 	private static void requireMethod(HttpServerExchange exchange, String method) throws ApiException {
--- a/entry/src/main/java/org/celeryhill/entry/BodyReader.java
+++ b/entry/src/main/java/org/celeryhill/entry/BodyReader.java
@@ -84,8 +84,7 @@
 	static void closeSoon(HttpServerExchange exchange) {
 		exchange.getResponseHeaders().put(new HttpString("Connection"), "close");
 		exchange.getIoThread()
-			.executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), LINGER.toMillis(),
-					TimeUnit.MILLISECONDS);
+			.executeAfter(() -> IoUtils.safeClose(exchange.getConnection()), LINGER.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/** Takes a body. */
--- a/entry/src/main/java/org/celeryhill/entry/DemandMeter.java
+++ b/entry/src/main/java/org/celeryhill/entry/DemandMeter.java
@@ -100,8 +100,7 @@
 
 		private void roll(double seconds) {
 			this.tokensPerSecond += NEWEST * (this.tokens.sumThenReset() / seconds - this.tokensPerSecond);
-			this.valuePerSecond += NEWEST
-					* (this.value.sumThenReset() / VALUE_SCALE / seconds - this.valuePerSecond);
+			this.valuePerSecond += NEWEST * (this.value.sumThenReset() / VALUE_SCALE / seconds - this.valuePerSecond);
 		}
 
 	}
--- a/entry/src/main/java/org/celeryhill/entry/EntrySettings.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntrySettings.java
@@ -116,7 +116,8 @@
 			description = "Most questions to backend servers a second.")
 	int reportsPerSecond;
 
-	@Option(names = "--host-list-period", defaultValue = "PT1S", description = "Time between readings of the host list.")
+	@Option(names = "--host-list-period", defaultValue = "PT1S",
+			description = "Time between readings of the host list.")
 	Duration hostListPeriod;
 
 	@Option(names = "--stop-period", defaultValue = "PT2S",
--- a/entry/src/main/java/org/celeryhill/entry/EventId.java
+++ b/entry/src/main/java/org/celeryhill/entry/EventId.java
@@ -29,7 +29,8 @@
  * copied
  */
 record EventId(RequestId request, OrganisationId organisation, ModelId model, ApiShape shape, ServingSystem system,
-		BackendServerId engine, AttemptId attempt, int firstOffset, int offset, long seed, long textHash, long createdSeconds, byte[] digest) {
+		BackendServerId engine, AttemptId attempt, int firstOffset, int offset, long seed, long textHash,
+		long createdSeconds, byte[] digest) {
 
 	/** Length of a request digest in bytes. */
 	static final int DIGEST_BYTES = 16;
--- a/entry/src/main/java/org/celeryhill/entry/EventIdCodec.java
+++ b/entry/src/main/java/org/celeryhill/entry/EventIdCodec.java
@@ -119,8 +119,8 @@
 			ModelId model = ModelId.of(in.readUTF());
 			BackendServerId engine = BackendServerId.of(in.readUTF());
 			AttemptId attempt = AttemptId.of(in.readUTF());
-			return Optional.of(new EventId(request, organisation, model, shape, system, engine, attempt, firstOffset, offset,
-					seed, textHash, created, digest));
+			return Optional.of(new EventId(request, organisation, model, shape, system, engine, attempt, firstOffset,
+					offset, seed, textHash, created, digest));
 		}
 		catch (IOException | RuntimeException ex) {
 			return Optional.empty();
--- a/entry/src/main/java/org/celeryhill/entry/GenerationContext.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationContext.java
@@ -15,15 +15,17 @@
  * @param timer the time, not null
  * @param limits the timeouts, not null
  * @param metrics the counters, not null
+ * @param demand the demand by model, not null
  */
 record GenerationContext(Function<BackendServerId, Optional<Engine>> engines, TimerService timer,
-		GenerationLimits limits, EntryMetrics metrics) {
+		GenerationLimits limits, EntryMetrics metrics, DemandMeter demand) {
 
 	GenerationContext {
 		Objects.requireNonNull(engines, "engines");
 		Objects.requireNonNull(timer, "timer");
 		Objects.requireNonNull(limits, "limits");
 		Objects.requireNonNull(metrics, "metrics");
+		Objects.requireNonNull(demand, "demand");
 	}
 
 }
--- a/entry/src/main/java/org/celeryhill/entry/GenerationHandler.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationHandler.java
@@ -107,9 +107,8 @@
 	private void run(ApiExchange api, GenerationJob job, Optional<EventId> origin) {
 		RelayHolder holder = new RelayHolder();
 		AnswerFormat format = new AnswerFormat(job);
-		AnswerSink sink = job.isStream()
-				? new SseSink(api, new SseChannel(api.exchange(), this.limits.maxPendingBytes(), holder::cancel), format,
-						this.codec)
+		AnswerSink sink = job.isStream() ? new SseSink(api,
+				new SseChannel(api.exchange(), this.limits.maxPendingBytes(), holder::cancel), format, this.codec)
 				: new WholeAnswerSink(api, format);
 		AnswerText answer = origin.map(AnswerText::resumedAt).orElseGet(AnswerText::empty);
 		StreamRelay relay = new StreamRelay(job, answer, sink, this.routers.apply(job.system()), this.context,
--- a/entry/src/main/java/org/celeryhill/entry/GenerationParser.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationParser.java
@@ -73,8 +73,8 @@
 		int tokens = tokens(root);
 		long seed = seed(root, id);
 		ServingSystem system = ServingSystem.choose(id.value(), parameters.newSystemPercent());
-		return new GenerationJob(id, id, organisation, parameters.service(), model, priority(priority, parameters), shape,
-				Optional.of(prompt), PromptPrefix.hashes(model, prompt), tokens, seed, isStream(root), system,
+		return new GenerationJob(id, id, organisation, parameters.service(), model, priority(priority, parameters),
+				shape, Optional.of(prompt), PromptPrefix.hashes(model, prompt), tokens, seed, isStream(root), system,
 				this.timer.instant().getEpochSecond(), digest(organisation, shape, body), this.timer.nanoTime());
 	}
 
@@ -174,7 +174,8 @@
 	}
 
 	private int tokens(JsonNode root) throws ApiException {
-		JsonNode value = root.has("max_completion_tokens") ? root.get("max_completion_tokens") : root.path("max_tokens");
+		JsonNode value = root.has("max_completion_tokens") ? root.get("max_completion_tokens")
+				: root.path("max_tokens");
 		if (value.isMissingNode() || value.isNull()) {
 			return this.defaultMaxTokens;
 		}
--- a/entry/src/main/java/org/celeryhill/entry/LegacyRouter.java
+++ b/entry/src/main/java/org/celeryhill/entry/LegacyRouter.java
@@ -73,8 +73,8 @@
 			.filter((id) -> !open.tried().contains(id))
 			.min(java.util.Comparator.comparingLong(this::running));
 		if (host.isEmpty()) {
-			return refuse(request, hosts.isEmpty() ? TrafficAction.Reason.NO_BACKEND
-					: TrafficAction.Reason.RETRIES_EXHAUSTED);
+			return refuse(request,
+					hosts.isEmpty() ? TrafficAction.Reason.NO_BACKEND : TrafficAction.Reason.RETRIES_EXHAUSTED);
 		}
 		TrafficAction.Send send = new TrafficAction.Send(request.id(), Ids.attempt(), host.get(), false);
 		try {
--- a/entry/src/main/java/org/celeryhill/entry/LoadPoller.java
+++ b/entry/src/main/java/org/celeryhill/entry/LoadPoller.java
@@ -73,7 +73,8 @@
 			.stream()
 			.filter((backend) -> backend.entry().kind() != HostList.Kind.LEGACY)
 			.filter((backend) -> isDue(backend.entry().id(), now))
-			.sorted(Comparator.comparingLong((backend) -> this.asked.getOrDefault(backend.entry().id(), Long.MIN_VALUE)))
+			.sorted(Comparator
+				.comparingLong((backend) -> this.asked.getOrDefault(backend.entry().id(), Long.MIN_VALUE)))
 			.limit((long) this.permits)
 			.toList();
 		due.forEach((backend) -> ask(backend, now));
--- a/entry/src/main/java/org/celeryhill/entry/PlainTarget.java
+++ b/entry/src/main/java/org/celeryhill/entry/PlainTarget.java
@@ -57,8 +57,8 @@
 	 * @return the target, never null
 	 * @throws ApiException if the call cannot be served
 	 */
-	static PlainTarget parse(HttpServerExchange exchange, String prefix, OrganisationId organisation,
-			CallerIndex index) throws ApiException {
+	static PlainTarget parse(HttpServerExchange exchange, String prefix, OrganisationId organisation, CallerIndex index)
+			throws ApiException {
 		String method = exchange.getRequestMethod().toString();
 		if (!METHODS.contains(method)) {
 			throw ApiException.notRun(ErrorCode.METHOD_NOT_ALLOWED, "Use one of the methods " + METHODS + ".");
@@ -87,7 +87,8 @@
 	private static String rawPath(HttpServerExchange exchange, String prefix) throws ApiException {
 		String uri = exchange.getRequestURI();
 		if (exchange.isHostIncludedInRequestURI() || !uri.startsWith(prefix)) {
-			throw ApiException.notRun(ErrorCode.INVALID_REQUEST, "Send the path in origin form without encoding its start.");
+			throw ApiException.notRun(ErrorCode.INVALID_REQUEST,
+					"Send the path in origin form without encoding its start.");
 		}
 		String rest = below(uri, prefix);
 		String path = rest.substring(Math.max(0, rest.indexOf('/')));
--- /dev/null
+++ b/entry/src/main/java/org/celeryhill/entry/StateReport.java
@@ -0,0 +1,67 @@
+package org.celeryhill.entry;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.celeryhill.peer.Member;
+import org.celeryhill.peer.PeerNode;
+
+/**
+ * Writes the state of a daemon as a tree for operators. Thread-safe.
+ */
+final class StateReport {
+
+	/** Daemon. */
+	private final EntryDaemon daemon;
+
+	/** Settings. */
+	private final EntrySettings settings;
+
+	/** Everything outside. */
+	private final Ports ports;
+
+	StateReport(EntryDaemon daemon, EntrySettings settings, Ports ports) {
+		this.daemon = Objects.requireNonNull(daemon, "daemon");
+		this.settings = Objects.requireNonNull(settings, "settings");
+		this.ports = Objects.requireNonNull(ports, "ports");
+	}
+
+	Map<String, Object> toTree() {
+		Map<String, Object> tree = new LinkedHashMap<>();
+		tree.put("host", this.settings.hostId);
+		tree.put("data_centre", this.settings.dataCentre);
+		tree.put("ready", this.daemon.isReady());
+		tree.put("revision", this.daemon.revisions().number());
+		tree.put("highest_revision_heard", this.daemon.revisions().highest());
+		tree.put("open_requests", this.daemon.root().openRequests());
+		tree.put("generations", this.daemon.relays().size());
+		tree.put("held_claims", this.daemon.claims().heldClaims());
+		tree.put("traffic", this.daemon.gate().locked((inner) -> inner.dump()));
+		tree.put("backends", this.daemon.backends().all().stream().map(this::toTree).toList());
+		tree.put("members",
+				this.ports.peers().map(PeerNode::members).orElse(List.of()).stream().map(this::toTree).toList());
+		return tree;
+	}
+
+	private Map<String, Object> toTree(Backends.Backend backend) {
+		Map<String, Object> one = new LinkedHashMap<>();
+		one.put("id", backend.entry().id().value());
+		one.put("kind", backend.entry().kind().name());
+		one.put("service", backend.entry().service().value());
+		one.put("address", backend.entry().address().toString());
+		one.put("leaving", this.daemon.backends().isLeaving(backend.entry()));
+		return one;
+	}
+
+	private Map<String, Object> toTree(Member member) {
+		Map<String, Object> one = new LinkedHashMap<>();
+		one.put("host", member.host().value());
+		one.put("address", member.address().toString());
+		one.put("data_centre", member.dataCentre().value());
+		one.put("leaving", member.isLeaving());
+		return one;
+	}
+
+}
--- a/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
+++ b/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
@@ -56,6 +56,9 @@
 	/** Whether an attempt may have run that is no longer among the attempts. */
 	private boolean mayHaveRun;
 
+	/** Whether the request waits to be sent. */
+	private boolean isWaiting;
+
 	/** Whether the request has ended. */
 	private boolean isDone;
 
@@ -75,6 +78,7 @@
 
 	/** Starts a new answer. */
 	synchronized void start() {
+		this.context.demand().arrived(this.job);
 		submit(this.router.offer(this.job.toTraffic(0), this));
 	}
 
@@ -85,8 +89,8 @@
 	synchronized void resume(EventId origin) {
 		this.mayHaveRun = true;
 		Optional<Engine> engine = this.context.engines().apply(origin.engine());
-		EngineAttempt attempt = new EngineAttempt(origin.attempt(), origin.engine(), engine.orElse(MissingEngine.INSTANCE),
-				origin.firstOffset(), false);
+		EngineAttempt attempt = new EngineAttempt(origin.attempt(), origin.engine(),
+				engine.orElse(MissingEngine.INSTANCE), origin.firstOffset(), false);
 		this.attempts.put(attempt.id(), attempt);
 		attempt.takeResume();
 		readAgain(attempt);
@@ -94,14 +98,15 @@
 
 	@Override
 	public synchronized void onSend(TrafficAction.Send send) {
+		setWaiting(false);
 		Optional<Engine> engine = this.context.engines().apply(send.backend());
 		boolean isLate = !this.attempts.isEmpty() && (!send.isHedge() || hasToken());
 		if (this.isDone || isLate) {
 			this.router.finish(send.attempt(), AttemptOutcome.CANCELLED);
 			return;
 		}
-		EngineAttempt attempt = new EngineAttempt(send.attempt(), send.backend(),
-				engine.orElse(MissingEngine.INSTANCE), this.answer.offset(), true);
+		EngineAttempt attempt = new EngineAttempt(send.attempt(), send.backend(), engine.orElse(MissingEngine.INSTANCE),
+				this.answer.offset(), true);
 		this.attempts.put(attempt.id(), attempt);
 		GenerateRequest request = new GenerateRequest(attempt.id(), this.job.model(), this.job.prompt().orElse(""),
 				this.answer.text(), this.answer.offset(), this.job.maxTokens(), this.job.seed(), this.job.priority());
@@ -190,8 +195,7 @@
 			return;
 		}
 		if (this.attempts.isEmpty() || !this.sink.isResumable()) {
-			fail(ApiError
-				.of(ErrorCode.SHUTTING_DOWN, "This daemon is stopping; send the request again.", execution())
+			fail(ApiError.of(ErrorCode.SHUTTING_DOWN, "This daemon is stopping; send the request again.", execution())
 				.withRetryAfter(RETRY_AFTER_FAILURE), "handed_over");
 			return;
 		}
@@ -269,7 +273,6 @@
 		}
 	}
 
-	/** Resumes an attempt on its engine, or gives it up. */
 	private void repair(EngineAttempt attempt, String detail) {
 		if (!attempt.takeResume()) {
 			moveOn(attempt, AttemptOutcome.BROKEN, true, detail);
@@ -286,7 +289,6 @@
 				now());
 	}
 
-	/** Gives up an attempt and continues on another engine unless a hedge runs. */
 	private void moveOn(EngineAttempt attempt, AttemptOutcome outcome, boolean ran, String detail) {
 		LOG.info("attempt_failed", "request", this.job.id(), "attempt", attempt.id(), "backend", attempt.backend(),
 				"outcome", outcome, "offset", this.answer.offset(), "reason", detail);
@@ -321,6 +323,7 @@
 	}
 
 	private void submit(Optional<TrafficAction.Refuse> refused) {
+		setWaiting(refused.isEmpty());
 		refused.filter((refuse) -> !this.isDone && this.attempts.isEmpty())
 			.ifPresent((refuse) -> fail(ApiError.of(refuse, execution()), refuse.reason().toCode()));
 	}
@@ -364,8 +367,16 @@
 		this.attempts.clear();
 	}
 
+	private void setWaiting(boolean waits) {
+		if (waits != this.isWaiting) {
+			this.isWaiting = waits;
+			this.context.demand().waiting(this.job, waits ? 1 : -1);
+		}
+	}
+
 	private void done() {
 		this.isDone = true;
+		setWaiting(false);
 		this.router.close(this.job.id());
 		this.onDone.run();
 	}
@@ -380,8 +391,8 @@
 	private EventId position(EngineAttempt attempt) {
 		return new EventId(this.job.answerId(), this.job.organisation(), this.job.model(), this.job.shape(),
 				this.job.system(), attempt.backend(), attempt.id(), attempt.firstOffset(),
-				this.answer.deliveredTokens(), this.job.seed(), this.answer.deliveredHash(),
-				this.job.createdSeconds(), this.job.digest());
+				this.answer.deliveredTokens(), this.job.seed(), this.answer.deliveredHash(), this.job.createdSeconds(),
+				this.job.digest());
 	}
 
 	private boolean hasToken() {
--- a/entry/src/main/java/org/celeryhill/entry/TrafficGate.java
+++ b/entry/src/main/java/org/celeryhill/entry/TrafficGate.java
@@ -76,8 +76,7 @@
 	@Override
 	public Optional<TrafficAction.Refuse> offer(TrafficRequest request, Listener listener) {
 		this.listeners.put(request.id(), listener);
-		Optional<TrafficAction.Refuse> refused = locked(
-				(inner) -> inner.offer(request, this.timer.nanoTime()));
+		Optional<TrafficAction.Refuse> refused = locked((inner) -> inner.offer(request, this.timer.nanoTime()));
 		if (refused.isPresent()) {
 			this.listeners.remove(request.id());
 		}
@@ -89,8 +88,7 @@
 
 	@Override
 	public Optional<TrafficAction.Refuse> retry(TrafficRequest request, AttemptId failed) {
-		Optional<TrafficAction.Refuse> refused = locked(
-				(inner) -> inner.retry(request, failed, this.timer.nanoTime()));
+		Optional<TrafficAction.Refuse> refused = locked((inner) -> inner.retry(request, failed, this.timer.nanoTime()));
 		wake();
 		return refused;
 	}
