Use the stores of the state module in the entry daemon

Cause: claims, planned stops and configuration have their implementation. Change: the entry daemon uses them directly; EntryMain wires HTTP adapters.

--- a/entry/src/main/java/org/celeryhill/entry/BackendTracker.java
+++ b/entry/src/main/java/org/celeryhill/entry/BackendTracker.java
@@ -16,6 +16,7 @@
 import org.celeryhill.port.EngineReport;
 import org.celeryhill.port.HostList;
 import org.celeryhill.port.PlainService;
+import org.celeryhill.state.StopTarget;
 import org.celeryhill.traffic.BackendView;
 
 /**
@@ -94,10 +95,10 @@
 	}
 
 	/**
-	 * Takes note of the targets of planned stops that are not done.
-	 * @param targets the backend servers, not null
+	 * Takes note of the targets of planned stops.
+	 * @param targets the targets, not null
 	 */
-	void onStops(Set<BackendServerId> targets) {
+	void onStops(Set<StopTarget> targets) {
 		if (this.backends.setStops(targets)) {
 			LOG.info("planned_stops", "targets", targets);
 			this.backends.all().forEach((backend) -> publish(backend.entry().id()));
--- a/entry/src/main/java/org/celeryhill/entry/Backends.java
+++ b/entry/src/main/java/org/celeryhill/entry/Backends.java
@@ -12,6 +12,7 @@
 import org.celeryhill.port.Engine;
 import org.celeryhill.port.HostList;
 import org.celeryhill.port.PlainService;
+import org.celeryhill.state.StopTarget;
 
 /**
  * The backend servers of the host list with their adapters. Thread-safe.
@@ -25,7 +26,7 @@
 	private final Map<BackendServerId, Backend> known = new ConcurrentHashMap<>();
 
 	/** Targets of planned stops. */
-	private volatile Set<BackendServerId> stops = Set.of();
+	private volatile Set<StopTarget> stops = Set.of();
 
 	Backends(BackendFactory factory) {
 		this.factory = Objects.requireNonNull(factory, "factory");
@@ -65,25 +66,22 @@
 	 * @return true if it is leaving
 	 */
 	boolean isLeaving(HostList.Entry entry) {
-		return entry.leaving() || this.stops.contains(entry.id());
+		return entry.leaving()
+				|| this.stops.stream().anyMatch((stop) -> stop.isCovering(entry.id(), entry.dataCentre()));
 	}
 
 	/**
-	 * Sets the targets of planned stops that are not done.
-	 * @param targets the backend servers, not null
+	 * Sets the targets of planned stops.
+	 * @param targets the targets, not null
 	 * @return whether they have changed
 	 */
-	boolean setStops(Set<BackendServerId> targets) {
-		Set<BackendServerId> copy = Set.copyOf(targets);
+	boolean setStops(Set<StopTarget> targets) {
+		Set<StopTarget> copy = Set.copyOf(targets);
 		boolean isChanged = !copy.equals(this.stops);
 		this.stops = copy;
 		return isChanged;
 	}
 
-	Set<BackendServerId> stops() {
-		return this.stops;
-	}
-
 	List<Backend> all() {
 		return List.copyOf(this.known.values());
 	}
--- a/entry/src/main/java/org/celeryhill/entry/ClaimRunner.java
+++ b/entry/src/main/java/org/celeryhill/entry/ClaimRunner.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -10,6 +12,10 @@
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.Execution;
+import org.celeryhill.state.ClaimStore;
+import org.celeryhill.state.ServingSystem;
+import org.celeryhill.state.StoreUnavailable;
+import org.celeryhill.state.StoredOutcome;
 
 /**
  * Serves non-idempotent calls: claims the key, lets the winner send the call, and answers
@@ -30,7 +36,10 @@
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
 	/** Claims. */
-	private final CallClaims claims;
+	private final ClaimStore claims;
+
+	/** Repeats writes that the store did not take. */
+	private final StoreRetry retry;
 
 	/** What all plain calls share. */
 	private final PlainContext context;
@@ -41,10 +50,11 @@
 	/** Calls whose claim this daemon holds and whose outcome is not stored yet. */
 	private final AtomicInteger held = new AtomicInteger();
 
-	ClaimRunner(CallClaims claims, PlainContext context, Duration wait) {
+	ClaimRunner(ClaimStore claims, PlainContext context, Duration wait) {
 		this.claims = Objects.requireNonNull(claims, "claims");
 		this.context = Objects.requireNonNull(context, "context");
 		this.wait = Objects.requireNonNull(wait, "wait");
+		this.retry = new StoreRetry(context);
 	}
 
 	/**
@@ -55,7 +65,9 @@
 	 * @param body the body, not null
 	 */
 	void start(ApiExchange api, PlainTarget target, String key, byte[] body) {
-		Request request = new Request(api, target, key, body, digest(target, body), Ids.attempt(),
+		ServingSystem system = TrafficSplit.choose(target.organisation() + "/" + key,
+				target.parameters().newSystemPercent());
+		Request request = new Request(api, target, key, body, digest(target, body), Ids.attempt(), system,
 				this.context.timer().nanoTime());
 		submit(request);
 	}
@@ -83,57 +95,73 @@
 	}
 
 	private void claim(Request request) {
-		boolean isHeld = false;
+		boolean isHandedOn = false;
 		try {
 			PlainTarget target = request.target();
-			ServingSystem system = ServingSystem.choose(target.organisation() + "/" + request.key(),
-					target.parameters().newSystemPercent());
-			CallClaims.Result result = this.claims.claim(target.organisation(), request.key(), request.attempt(),
-					request.digest(), system);
-			isHeld = result instanceof CallClaims.Won;
+			ClaimStore.ClaimResult result = this.claims.claim(target.organisation(), request.key(), request.attempt(),
+					request.digest(), request.system());
+			isHandedOn = result instanceof ClaimStore.Won
+					|| result instanceof StoreUnavailable store && store.isOutcomeUnknown();
 			onResult(request, result);
 		}
 		catch (RuntimeException ex) {
 			LOG.warn("claim_fault", "request", request.api().id(), "fault", ex);
 			request.api()
 				.error(ApiError.of(ErrorCode.INTERNAL, "Unexpected fault; repeat the request with the same key.",
-						isHeld ? Execution.UNKNOWN : Execution.NOT_RUN));
+						Execution.UNKNOWN));
 		}
 		finally {
-			if (!isHeld) {
+			if (!isHandedOn) {
 				this.held.decrementAndGet();
 			}
 		}
 	}
 
-	private void onResult(Request request, CallClaims.Result result) {
+	private void onResult(Request request, ClaimStore.ClaimResult result) {
 		ApiExchange api = request.api();
-		if (result instanceof CallClaims.Won won) {
+		if (result instanceof ClaimStore.Won won) {
 			this.context.metrics().claim("won");
-			new ClaimedCall(request, won, this.context, this.held::decrementAndGet).start();
+			new ClaimedCall(request, this.claims, won, this.context, this.held::decrementAndGet).start();
 		}
-		else if (result instanceof CallClaims.Finished finished) {
+		else if (result instanceof ClaimStore.Finished finished) {
 			this.context.metrics().claim("replayed");
-			answer(api, finished.outcome(), true);
+			answerStored(api, finished.outcome());
+		}
+		else if (result instanceof ClaimStore.OutcomeUnknown) {
+			this.context.metrics().claim("unknown");
+			answerUnknown(api);
 		}
-		else if (result instanceof CallClaims.KeyReused) {
+		else if (result instanceof ClaimStore.KeyReused) {
 			this.context.metrics().claim("key_reused");
 			api.error(ApiError.notRun(ErrorCode.IDEMPOTENCY_KEY_REUSED,
 					"This Idempotency-Key was used for another request; use a new key for a new call."));
 		}
-		else if (result instanceof CallClaims.Unavailable unavailable) {
-			this.context.metrics().claim("store_unavailable");
-			LOG.info("claim_unavailable", "request", api.id(), "reason", unavailable.reason());
-			api.error(ApiError
-				.notRun(ErrorCode.STORE_UNAVAILABLE,
-						"The call was not sent since it cannot be recorded now; retry with the same key.")
-				.withRetryAfter(RETRY_AFTER));
+		else if (result instanceof StoreUnavailable store) {
+			onStoreUnavailable(request, store);
 		}
 		else {
 			waitForOther(request);
 		}
 	}
 
+	private void onStoreUnavailable(Request request, StoreUnavailable store) {
+		this.context.metrics().claim("store_unavailable");
+		LOG.info("claim_unavailable", "request", request.api().id(), "reason", store.reason(), "unknown",
+				store.isOutcomeUnknown());
+		request.api()
+			.error(ApiError
+				.notRun(ErrorCode.STORE_UNAVAILABLE,
+						"The call was not sent since it cannot be recorded now; retry with the same key.")
+				.withRetryAfter(RETRY_AFTER));
+		if (store.isOutcomeUnknown()) {
+			// The write may still arrive; the key would then wait for a call that nobody
+			// sends.
+			PlainTarget target = request.target();
+			this.retry.write(() -> this.claims.abandon(target.organisation(), request.key(), request.attempt(),
+					request.digest(), request.system()), this.held::decrementAndGet);
+		}
+	}
+
 	private void waitForOther(Request request) {
 		long waited = this.context.timer().nanoTime() - request.startedNanos();
 		if (waited > this.wait.toNanos()) {
@@ -149,36 +177,23 @@
 		this.context.timer().after(POLL_PERIOD, () -> submit(request));
 	}
 
-	/**
-	 * Answers with an outcome.
-	 * @param api the exchange, not null
-	 * @param outcome the outcome, not null
-	 * @param isReplayed whether the outcome was stored before
-	 */
-	static void answer(ApiExchange api, CallOutcome outcome, boolean isReplayed) {
-		if (outcome.execution() == Execution.UNKNOWN) {
-			api.error(ApiError.of(ErrorCode.OUTCOME_UNKNOWN,
-					"It cannot be determined whether the call ran; check with the service before using a new key.",
-					Execution.UNKNOWN));
-			return;
-		}
-		if (outcome.execution() == Execution.NOT_RUN) {
-			api.error(ApiError.notRun(ErrorCode.NO_BACKEND,
-					"No backend server ran the call; use a new key to try again."));
-			return;
-		}
-		if (!outcome.isBodyKept()) {
+	private static void answerStored(ApiExchange api, StoredOutcome outcome) {
+		if (outcome.headers().containsKey(ClaimedCall.BODY_LEFT_OUT)) {
 			api.error(ApiError.of(ErrorCode.OUTCOME_NOT_STORED,
 					"The call ran with status " + outcome.status()
 							+ ", but its answer was too large to be kept; ask the service for the result.",
 					Execution.RAN));
 			return;
 		}
-		java.util.Map<String, String> headers = new java.util.HashMap<>(outcome.headers());
-		if (isReplayed) {
-			headers.put(REPLAYED, "true");
-		}
-		api.answer(outcome.status(), isReplayed ? "replayed" : "plain", headers, outcome.body());
+		Map<String, String> headers = new HashMap<>(outcome.headers());
+		headers.put(REPLAYED, "true");
+		api.answer(outcome.status(), "replayed", headers, outcome.body());
+	}
+
+	static void answerUnknown(ApiExchange api) {
+		api.error(ApiError.of(ErrorCode.OUTCOME_UNKNOWN,
+				"It cannot be determined whether the call ran; check with the service before using a new key.",
+				Execution.UNKNOWN));
 	}
 
 	private static String digest(PlainTarget target, byte[] body) {
@@ -197,10 +212,11 @@
 	 * @param body the body, not null
 	 * @param digest the digest of the request, not null
 	 * @param attempt the unique id of the claim, not null
+	 * @param system the system that the traffic split chooses, not null
 	 * @param startedNanos when the request arrived, monotonic nanoseconds
 	 */
 	record Request(ApiExchange api, PlainTarget target, String key, byte[] body, String digest, AttemptId attempt,
-			long startedNanos) {
+			ServingSystem system, long startedNanos) {
 
 	}
 
--- a/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
+++ b/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
@@ -1,15 +1,19 @@
 package org.celeryhill.entry;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.Execution;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.port.PlainService;
+import org.celeryhill.state.ClaimStore;
+import org.celeryhill.state.StoredOutcome;
 import org.celeryhill.traffic.AttemptOutcome;
 import org.celeryhill.traffic.TrafficAction;
 
@@ -27,11 +31,13 @@
 	/** Most backend servers that are tried. */
 	private static final int MAX_SENDS = 3;
 
-	/** Time between two tries to store an outcome. */
-	private static final Duration STORE_PERIOD = Duration.ofMillis(500);
+	/**
+	 * Largest body that is kept for repetition, in bytes; rows of the table are small.
+	 */
+	static final int MAX_KEPT_BYTES = 64 * 1024;
 
-	/** Tries to store an outcome before it is given up; about five minutes. */
-	private static final int MAX_STORE_TRIES = 600;
+	/** Header of a stored outcome whose body was too large to be kept. */
+	static final String BODY_LEFT_OUT = "X-Body-Left-Out";
 
 	/** Time after which a caller may try again. */
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
@@ -39,8 +45,11 @@
 	/** Call. */
 	private final ClaimRunner.Request request;
 
-	/** Claim. */
-	private final CallClaims.Won claim;
+	/** Claims. */
+	private final ClaimStore claims;
+
+	/** Claim of this call. */
+	private final ClaimStore.Won claim;
 
 	/** Decides where the call is sent. */
 	private final AttemptRouter router;
@@ -57,11 +66,13 @@
 	/** Id under which the router knows the current send. */
 	private RequestId routed;
 
-	ClaimedCall(ClaimRunner.Request request, CallClaims.Won claim, PlainContext context, Runnable onSettled) {
+	ClaimedCall(ClaimRunner.Request request, ClaimStore claims, ClaimStore.Won claim, PlainContext context,
+			Runnable onSettled) {
 		this.request = Objects.requireNonNull(request, "request");
+		this.claims = Objects.requireNonNull(claims, "claims");
 		this.claim = Objects.requireNonNull(claim, "claim");
 		this.context = Objects.requireNonNull(context, "context");
-		this.router = context.router(claim.system());
+		this.router = context.router(claim.claim().system());
 		this.onSettled = Objects.requireNonNull(onSettled, "onSettled");
 	}
 
@@ -118,13 +129,14 @@
 
 	private void onResult(TrafficAction.Send send, PlainService.CallResult result) {
 		if (result instanceof PlainService.Answered answered) {
-			settle(CallOutcome.ran(answered.status(), PlainHandler.passedHeaders(answered.headers()), answered.body()));
+			ran(answered);
 			return;
 		}
 		LOG.info("claimed_call_failed", "request", this.request.api().id(), "attempt", send.attempt(), "backend",
 				send.backend(), "result", result);
 		if (result instanceof PlainService.CallUnknown) {
-			settle(CallOutcome.unknown());
+			this.context.metrics().claim("unknown");
+			settle(() -> this.claims.completeUnknown(this.claim), () -> ClaimRunner.answerUnknown(this.request.api()));
 		}
 		else if (this.sends < MAX_SENDS) {
 			start();
@@ -134,60 +146,36 @@
 		}
 	}
 
-	private void notRun(TrafficAction.Refuse refuse) {
-		this.context.metrics().claim("not_run");
-		store(this.claim::release, () -> this.request.api().error(ApiError.of(refuse, Execution.NOT_RUN)));
-	}
-
-	private void settle(CallOutcome outcome) {
-		this.context.metrics().claim(outcome.execution().toCode());
-		CallOutcome stored = outcome.toStored();
-		store(() -> this.claim.complete(stored), () -> ClaimRunner.answer(this.request.api(), outcome, false));
+	private void ran(PlainService.Answered answered) {
+		this.context.metrics().claim("ran");
+		Map<String, String> headers = PlainHandler.passedHeaders(answered.headers());
+		StoredOutcome outcome = (answered.body().length <= MAX_KEPT_BYTES)
+				? new StoredOutcome(answered.status(), headers, answered.body())
+				: new StoredOutcome(answered.status(), Map.of(BODY_LEFT_OUT, "true"), new byte[0]);
+		settle(() -> this.claims.complete(this.claim, outcome),
+				() -> this.request.api().answer(answered.status(), "plain", headers, answered.body()));
 	}
 
-	// The caller is answered whether or not storing worked; storing is repeated if not.
-	private void store(BooleanSupplier write, Runnable answer) {
-		boolean isStored = tryStore(write);
-		answer.run();
-		if (isStored) {
-			this.onSettled.run();
-			return;
-		}
-		storeLater(write, 1);
+	private void notRun(TrafficAction.Refuse refuse) {
+		this.context.metrics().claim("not_run");
+		settle(() -> this.claims.withdraw(this.claim),
+				() -> this.request.api().error(ApiError.of(refuse, Execution.NOT_RUN)));
 	}
 
-	private void storeLater(BooleanSupplier write, int tries) {
-		this.context.timer().after(STORE_PERIOD, () -> {
+	// The caller is answered after the first try, whether or not the store took it.
+	private void settle(Supplier<ClaimStore.CompleteResult> write, Runnable answer) {
+		AtomicBoolean isAnswered = new AtomicBoolean();
+		Supplier<ClaimStore.CompleteResult> writeAndAnswer = () -> {
 			try {
-				this.context.workers().execute(() -> storeAgain(write, tries));
+				return write.get();
 			}
-			catch (RejectedExecutionException ex) {
-				storeLater(write, tries + 1);
+			finally {
+				if (!isAnswered.getAndSet(true)) {
+					answer.run();
+				}
 			}
-		});
-	}
-
-	private void storeAgain(BooleanSupplier write, int tries) {
-		if (tryStore(write)) {
-			this.onSettled.run();
-		}
-		else if (tries >= MAX_STORE_TRIES) {
-			LOG.warn("outcome_not_stored", "request", this.request.api().id(), "tries", tries);
-			this.onSettled.run();
-		}
-		else {
-			storeLater(write, tries + 1);
-		}
-	}
-
-	private boolean tryStore(BooleanSupplier write) {
-		try {
-			return write.getAsBoolean();
-		}
-		catch (RuntimeException ex) {
-			LOG.warn("outcome_store_fault", "request", this.request.api().id(), "fault", ex);
-			return false;
-		}
+		};
+		new StoreRetry(this.context).write(writeAndAnswer, this.onSettled);
 	}
 
 }
--- a/entry/src/main/java/org/celeryhill/entry/ConfigurationFollower.java
+++ b/entry/src/main/java/org/celeryhill/entry/ConfigurationFollower.java
@@ -1,12 +1,11 @@
 package org.celeryhill.entry;
 
 import java.util.Objects;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.RevisionDocument;
+import org.celeryhill.state.ConfigurationStore;
 
 /**
  * Follows the configuration head and fetches newer revisions, which it also offers to the
@@ -19,7 +18,7 @@
 	private static final EventLog LOG = EventLog.of(ConfigurationFollower.class);
 
 	/** Accepted configurations. */
-	private final ConfigurationSource source;
+	private final ConfigurationStore store;
 
 	/** Configuration in force. */
 	private final RevisionHolder holder;
@@ -27,30 +26,29 @@
 	/** Spreads a fetched revision. */
 	private final Consumer<RevisionDocument> spread;
 
-	ConfigurationFollower(ConfigurationSource source, RevisionHolder holder, Consumer<RevisionDocument> spread) {
-		this.source = Objects.requireNonNull(source, "source");
+	ConfigurationFollower(ConfigurationStore store, RevisionHolder holder, Consumer<RevisionDocument> spread) {
+		this.store = Objects.requireNonNull(store, "store");
 		this.holder = Objects.requireNonNull(holder, "holder");
 		this.spread = Objects.requireNonNull(spread, "spread");
 	}
 
 	/** Reads the head and fetches its revision if it is newer. Blocks. */
 	void follow() {
-		OptionalLong head = this.source.head();
-		if (head.isEmpty() || head.getAsLong() == 0) {
+		if (!(this.store.head() instanceof ConfigurationStore.Head read)) {
 			return;
 		}
-		this.holder.hear(head.getAsLong());
-		if (this.holder.number() >= head.getAsLong()) {
+		long head = read.head().number();
+		this.holder.hear(head);
+		if (this.holder.number() >= head) {
 			return;
 		}
-		Optional<RevisionDocument> document = this.source.fetch(head.getAsLong());
-		if (document.isEmpty()) {
-			LOG.info("revision_not_fetched", "number", head.getAsLong());
+		if (this.store.fetch(head) instanceof ConfigurationStore.Fetched fetched) {
+			if (this.holder.apply(fetched.document())) {
+				this.spread.accept(fetched.document());
+			}
 			return;
 		}
-		if (this.holder.apply(document.get())) {
-			this.spread.accept(document.get());
-		}
+		LOG.info("revision_not_fetched", "number", head);
 	}
 
 }
--- a/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
@@ -11,8 +11,18 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.HostId;
+import org.celeryhill.config.RevisionParser;
 import org.celeryhill.http.HttpServerKit;
+import org.celeryhill.state.AttemptIds;
+import org.celeryhill.state.ClaimPolicy;
+import org.celeryhill.state.ClaimStore;
+import org.celeryhill.state.ConditionalWriter;
+import org.celeryhill.state.ConfigurationStore;
+import org.celeryhill.state.PlannedStops;
+import org.celeryhill.state.RetryPolicy;
+import org.celeryhill.state.ServingSystem;
 
 /**
  * One entry daemon: wires its parts, starts them, and stops them gracefully. Thread-safe.
@@ -28,6 +38,12 @@
 	/** Time between two looks at which backend servers are due. */
 	private static final Duration POLL_TICK = Duration.ofMillis(25);
 
+	/** Delay before the first repetition of a store operation. */
+	private static final Duration STORE_RETRY_DELAY = Duration.ofMillis(20);
+
+	/** Time between two collections of old claims. */
+	private static final Duration CLAIM_COLLECTION = Duration.ofMinutes(5);
+
 	/** Settings. */
 	private final EntrySettings settings;
 
@@ -58,6 +74,15 @@
 	/** Running generations. */
 	private final LiveRelays relays;
 
+	/** Writes rows of the table service. */
+	private final ConditionalWriter writer;
+
+	/** Claims of non-idempotent calls. */
+	private final ClaimStore claimStore;
+
+	/** Planned stops. */
+	private final StopFollower stops;
+
 	/** Non-idempotent calls. */
 	private final ClaimRunner claims;
 
@@ -86,6 +111,8 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.ports = Objects.requireNonNull(ports, "ports");
 		EntryMetrics metrics = new EntryMetrics(this.registry);
+		this.writer = ConditionalWriter.create(ports.table(), AttemptIds.random(),
+				RetryPolicy.blocking(ports.timer(), RetryPolicy.DEFAULT_TRIES, STORE_RETRY_DELAY));
 		this.workers = pool("worker", settings.workerThreads);
 		this.control = pool("control", CONTROL_THREADS);
 		this.gate = new TrafficGate(ports.traffic(), ports.timer());
@@ -100,13 +127,17 @@
 				settings.generationLimits(), metrics, this.demand);
 		PlainContext plain = new PlainContext(this.backends::plain, (system) -> router(system, legacy), this.workers,
 				ports.timer(), settings.callTimeout, metrics);
-		this.claims = new ClaimRunner(ports.claims(), plain, settings.claimWait);
+		this.claimStore = ClaimStore.create(this.writer, ports.timer(), new ClaimPolicy(settings.claimTimeout,
+				ClaimPolicy.DEFAULT.epochPeriod(), ClaimPolicy.DEFAULT.retainedEpochs()));
+		this.claims = new ClaimRunner(this.claimStore, plain, settings.claimWait);
 		GenerationHandler generations = new GenerationHandler(
 				new GenerationParser(settings.defaultMaxTokens, settings.maxTokens, ports.timer()),
 				new EventIdCodec(settings.eventIdKeys()), (system) -> router(system, legacy), generation, this.relays,
 				settings.apiLimits());
 		this.root = new ApiRoot(this.revisions::index, generations, new PlainHandler(plain, this.claims),
 				settings.apiLimits(), metrics);
+		this.stops = new StopFollower(PlannedStops.create(this.writer, ports.timer()), this.tracker,
+				HostId.of(settings.hostId), DataCentre.of(settings.dataCentre), this.root::openRequests);
 	}
 
 	private AttemptRouter router(ServingSystem system, LegacyRouter legacy) {
@@ -147,15 +178,17 @@
 	private void startControl() {
 		LoadPoller poller = new LoadPoller(this.backends, this.tracker, this.control, this.settings.reportPeriod,
 				this.settings.reportsPerSecond);
-		ConfigurationFollower follower = new ConfigurationFollower(this.ports.configuration(), this.revisions,
+		ConfigurationStore configuration = ConfigurationStore.create(this.writer, this.ports.objects(),
+				this.ports.timer(), (document) -> RevisionParser.parse(document).findings());
+		ConfigurationFollower follower = new ConfigurationFollower(configuration, this.revisions,
 				(document) -> this.ports.peers().ifPresent((node) -> node.offerRevision(document)));
 		DemandPublisher publisher = new DemandPublisher(this.ports.table(), HostId.of(this.settings.hostId),
 				this.demand, this.settings.demandPeriod);
 		this.tasks.add("hosts", this.settings.hostListPeriod,
 				() -> this.ports.hosts().read().ifPresent(this.tracker::onHostList));
 		this.tasks.add("loads", POLL_TICK, () -> poller.tick(this.ports.timer().nanoTime()));
-		this.tasks.add("stops", this.settings.stopPeriod,
-				() -> this.ports.stops().targets().ifPresent(this.tracker::onStops));
+		this.tasks.add("stops", this.settings.stopPeriod, this.stops::follow);
+		this.tasks.add("claims", CLAIM_COLLECTION, this.claimStore::collect);
 		this.tasks.add("configuration", this.settings.headPeriod, follower::follow);
 		this.tasks.add("demand", this.settings.demandPeriod, publisher::publish);
 	}
@@ -191,7 +224,8 @@
 	}
 
 	boolean isReady() {
-		return this.isAccepting && this.revisions.number() > 0 && this.tracker.hasReachable();
+		return this.isAccepting && !this.stops.isStopping() && this.revisions.number() > 0
+				&& this.tracker.hasReachable();
 	}
 
 	URI apiUri() {
--- /dev/null
+++ b/entry/src/main/java/org/celeryhill/entry/EntryMain.java
@@ -0,0 +1,111 @@
+package org.celeryhill.entry;
+
+import java.io.PrintWriter;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.SystemTimerService;
+import org.celeryhill.base.TimerService;
+import org.celeryhill.http.ClientSettings;
+import org.celeryhill.http.EnvironmentDefaults;
+import org.celeryhill.http.HttpHostList;
+import org.celeryhill.http.HttpObjectService;
+import org.celeryhill.http.HttpTableService;
+import org.celeryhill.http.LogSetup;
+import org.celeryhill.http.SettingsChecks;
+import org.celeryhill.traffic.DefaultTrafficController;
+import org.celeryhill.traffic.TrafficTunables;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/**
+ * Process of the entry daemon. It runs until SIGTERM or SIGINT and then stops gracefully
+ * with exit status 0; unusable settings end it at once with exit status 2.
+ */
+@Command(name = "celeryhill-entry", mixinStandardHelpOptions = true,
+		description = "Serves callers: authenticates, admits, routes and streams.")
+public final class EntryMain implements Callable<Integer> {
+
+	/** Log of this class. */
+	private static final EventLog LOG = EventLog.of(EntryMain.class);
+
+	/** Connections to backend servers that are kept while idle. */
+	private static final int IDLE_CONNECTIONS = 256;
+
+	/** Settings. */
+	@Mixin
+	private EntrySettings settings = new EntrySettings();
+
+	/**
+	 * Runs the process.
+	 * @param args the flags, not null
+	 */
+	public static void main(String[] args) {
+		System.exit(command().execute(args));
+	}
+
+	static CommandLine command() {
+		CommandLine command = new CommandLine(new EntryMain());
+		command.setDefaultValueProvider(new EnvironmentDefaults());
+		return command;
+	}
+
+	@Override
+	public Integer call() throws InterruptedException {
+		SettingsChecks checks = this.settings.check();
+		checks.print(new PrintWriter(System.err, true));
+		if (!checks.isValid()) {
+			return SettingsChecks.EXIT_STATUS;
+		}
+		LogSetup.install(this.settings.isVerbose ? Level.FINE : Level.INFO);
+		CountDownLatch stopSignal = new CountDownLatch(1);
+		onSignal("TERM", stopSignal::countDown);
+		onSignal("INT", stopSignal::countDown);
+		EntryDaemon daemon = new EntryDaemon(this.settings, ports(this.settings));
+		daemon.start();
+		LOG.info("entry_started", "host", this.settings.hostId, "api", daemon.apiUri(), "admin", daemon.adminUri());
+		stopSignal.await();
+		daemon.stop();
+		return 0;
+	}
+
+	// A shutdown hook would run while the log is being closed and could not set the exit
+	// status to 0, so the signals are handled directly.
+	private static void onSignal(String name, Runnable action) {
+		sun.misc.Signal.handle(new sun.misc.Signal(name), (signal) -> action.run());
+	}
+
+	/**
+	 * Returns the adapters of a daemon.
+	 * @param settings the settings, checked, not null
+	 * @return the adapters, never null
+	 */
+	static Ports ports(EntrySettings settings) {
+		TimerService timer = SystemTimerService.create();
+		Dispatcher dispatcher = new Dispatcher();
+		OkHttpClient client = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, java.util.concurrent.TimeUnit.MINUTES))
+			.build();
+		ClientSettings limits = ClientSettings.defaults()
+			.withConnectTimeout(settings.connectTimeout)
+			.withAnswerTimeout(settings.storeTimeout);
+		String incarnation = UUID.randomUUID().toString().substring(0, 8);
+		DefaultTrafficController traffic = DefaultTrafficController.create(HostId.of(settings.hostId),
+				DataCentre.of(settings.dataCentre), incarnation, settings.hostId.hashCode(), TrafficTunables.DEFAULTS);
+		return new Ports(timer, HttpTableService.create(settings.tableUrl, client, limits),
+				HttpObjectService.create(settings.objectUrl, client, limits),
+				HttpHostList.create(settings.hostListUrl, client, limits), new HttpBackendFactory(client, limits),
+				traffic, Optional.empty());
+	}
+
+}
--- a/entry/src/main/java/org/celeryhill/entry/EventId.java
+++ b/entry/src/main/java/org/celeryhill/entry/EventId.java
@@ -8,6 +8,7 @@
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.OrganisationId;
 import org.celeryhill.base.RequestId;
+import org.celeryhill.state.ServingSystem;
 
 /**
  * Position in a stream from which any entry daemon can resume it. Immutable and
--- a/entry/src/main/java/org/celeryhill/entry/EventIdCodec.java
+++ b/entry/src/main/java/org/celeryhill/entry/EventIdCodec.java
@@ -19,6 +19,7 @@
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.OrganisationId;
 import org.celeryhill.base.RequestId;
+import org.celeryhill.state.ServingSystem;
 
 /**
  * Signs and verifies event ids. The text is base64url of the fields followed by an
--- a/entry/src/main/java/org/celeryhill/entry/GenerationHandler.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationHandler.java
@@ -9,6 +9,7 @@
 import org.celeryhill.base.OrganisationId;
 import org.celeryhill.base.PriorityClass;
 import org.celeryhill.config.OrganisationParameters;
+import org.celeryhill.state.ServingSystem;
 
 /**
  * Serves generations: new ones, re-sent ones with {@code Last-Event-ID}, and resumptions
--- a/entry/src/main/java/org/celeryhill/entry/GenerationJob.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationJob.java
@@ -9,6 +9,7 @@
 import org.celeryhill.base.PriorityClass;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
+import org.celeryhill.state.ServingSystem;
 import org.celeryhill.traffic.TrafficRequest;
 
 /**
--- a/entry/src/main/java/org/celeryhill/entry/GenerationParser.java
+++ b/entry/src/main/java/org/celeryhill/entry/GenerationParser.java
@@ -17,6 +17,7 @@
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.config.OrganisationParameters;
+import org.celeryhill.state.ServingSystem;
 
 /**
  * Turns the body of a generation request into a job and checks it. Immutable and
@@ -72,7 +73,7 @@
 		}
 		int tokens = tokens(root);
 		long seed = seed(root, id);
-		ServingSystem system = ServingSystem.choose(id.value(), parameters.newSystemPercent());
+		ServingSystem system = TrafficSplit.choose(id.value(), parameters.newSystemPercent());
 		return new GenerationJob(id, id, organisation, parameters.service(), model, priority(priority, parameters),
 				shape, Optional.of(prompt), PromptPrefix.hashes(model, prompt), tokens, seed, isStream(root), system,
 				this.timer.instant().getEpochSecond(), digest(organisation, shape, body), this.timer.nanoTime());
--- a/entry/src/main/java/org/celeryhill/entry/PlainContext.java
+++ b/entry/src/main/java/org/celeryhill/entry/PlainContext.java
@@ -9,6 +9,7 @@
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.port.PlainService;
+import org.celeryhill.state.ServingSystem;
 
 /**
  * What all plain calls of one daemon share. Immutable and thread-safe.
--- a/entry/src/main/java/org/celeryhill/entry/PlainHandler.java
+++ b/entry/src/main/java/org/celeryhill/entry/PlainHandler.java
@@ -9,6 +9,7 @@
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.port.PlainService;
+import org.celeryhill.state.ServingSystem;
 import org.celeryhill.traffic.TrafficRequest;
 
 /**
@@ -50,7 +51,7 @@
 			this.claims.start(api, target, key(api), body);
 			return;
 		}
-		ServingSystem system = ServingSystem.choose(api.id().value(), target.parameters().newSystemPercent());
+		ServingSystem system = TrafficSplit.choose(api.id().value(), target.parameters().newSystemPercent());
 		IdempotentCall call = new IdempotentCall(api, target, body, this.context.router(system), this.context);
 		DisconnectWatch.start(api.exchange(), call::cancel);
 		call.start();
--- a/entry/src/main/java/org/celeryhill/entry/RevisionHolder.java
+++ b/entry/src/main/java/org/celeryhill/entry/RevisionHolder.java
@@ -8,6 +8,7 @@
 import org.celeryhill.config.ParsedRevision;
 import org.celeryhill.config.Revision;
 import org.celeryhill.config.RevisionParser;
+import org.celeryhill.state.AppliedRevision;
 
 /**
  * The configuration in force. A revision is applied only if its number is higher than the
@@ -30,8 +31,8 @@
 	/** Configuration in force. */
 	private volatile CallerIndex index = CallerIndex.of(Revision.EMPTY);
 
-	/** Highest number heard of. */
-	private volatile long highest;
+	/** Number in force and highest number heard of. */
+	private volatile AppliedRevision state = AppliedRevision.NONE;
 
 	RevisionHolder(TrafficGate gate, TimerService timer, EntryMetrics metrics) {
 		this.gate = Objects.requireNonNull(gate, "gate");
@@ -44,11 +45,11 @@
 	}
 
 	long number() {
-		return this.index.revision().number();
+		return this.state.applied();
 	}
 
 	long highest() {
-		return this.highest;
+		return this.state.known();
 	}
 
 	/**
@@ -56,7 +57,7 @@
 	 * @param number the number
 	 */
 	synchronized void hear(long number) {
-		this.highest = Math.max(this.highest, number);
+		this.state = this.state.withKnown(number);
 	}
 
 	/**
@@ -66,7 +67,7 @@
 	 */
 	synchronized boolean apply(RevisionDocument document) {
 		hear(document.number());
-		if (document.number() <= number() || document.number() < this.highest) {
+		if (!this.state.canApply(document.number())) {
 			return false;
 		}
 		ParsedRevision parsed = RevisionParser.parse(document);
@@ -77,6 +78,7 @@
 		Revision revision = parsed.revision().orElseThrow();
 		this.gate.update((inner) -> inner.apply(revision, this.timer.nanoTime()));
 		this.index = CallerIndex.of(revision);
+		this.state = this.state.withApplied(revision.number());
 		this.metrics.revision(revision.number());
 		LOG.info("revision_applied", "number", revision.number());
 		this.gate.wake();
