--- a/entry/src/main/java/org/celeryhill/entry/ApiExchange.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiExchange.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -107,7 +108,12 @@
 			return;
 		}
 		this.metrics.answered(status, code);
-		this.exchange.getIoThread().execute(() -> write(status, headers, body));
+		try {
+			this.exchange.getIoThread().execute(() -> write(status, headers, body));
+		}
+		catch (RejectedExecutionException ex) {
+			LOG.debug("answer_after_stop", "request", this.id, "status", status);
+		}
 	}
 
 	/**
--- a/entry/src/main/java/org/celeryhill/entry/ApiServer.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiServer.java
@@ -44,7 +44,6 @@
 			.addHttpListener(port, address)
 			.setIoThreads(ioThreads)
 			.setWorkerThreads(1)
-			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
 			.setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
 			.setServerOption(UndertowOptions.MAX_PARAMETERS, MAX_PARAMETERS)
--- a/entry/src/main/java/org/celeryhill/entry/BodyReader.java
+++ b/entry/src/main/java/org/celeryhill/entry/BodyReader.java
@@ -1,9 +1,11 @@
 package org.celeryhill.entry;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
@@ -12,7 +14,9 @@
 
 /**
  * Receives the body of a request within a bound of memory and time, without a thread that
- * waits. Immutable and thread-safe.
+ * waits. The limit is checked here, since Undertow closes the connection of a chunked
+ * body that exceeds its own limit before an answer can be sent. Immutable and
+ * thread-safe.
  */
 final class BodyReader {
 
@@ -43,32 +47,41 @@
 				timedOut(api);
 			}
 		}, this.limits.bodyTimeout().toMillis(), TimeUnit.MILLISECONDS);
-		exchange.setMaxEntitySize(this.limits.maxBodyBytes());
-		exchange.getRequestReceiver().receiveFullBytes((inner, body) -> {
-			timeout.remove();
-			if (!isDone.getAndSet(true)) {
-				inner.dispatch(SameThreadExecutor.INSTANCE, () -> next.accept(body));
+		ByteArrayOutputStream collected = new ByteArrayOutputStream();
+		Receiver receiver = exchange.getRequestReceiver();
+		receiver.receivePartialBytes((inner, part, isLast) -> {
+			if (isDone.get()) {
+				return;
+			}
+			collected.writeBytes(part);
+			boolean isTooLarge = collected.size() > this.limits.maxBodyBytes();
+			if ((isLast || isTooLarge) && !isDone.getAndSet(true)) {
+				timeout.remove();
+				if (isTooLarge) {
+					receiver.pause();
+				}
+				inner.dispatch(SameThreadExecutor.INSTANCE, () -> received(api, collected, isTooLarge, next));
 			}
 		}, (inner, fault) -> {
 			timeout.remove();
 			if (!isDone.getAndSet(true)) {
-				inner.dispatch(SameThreadExecutor.INSTANCE, () -> failed(api, fault));
+				IoUtils.safeClose(inner.getConnection());
 			}
 		});
 	}
 
-	private ApiError tooLarge() {
-		return ApiError.notRun(ErrorCode.BODY_TOO_LARGE,
-				"The body may have at most " + this.limits.maxBodyBytes() + " bytes; send less.");
-	}
-
-	private void failed(ApiExchange api, java.io.IOException fault) {
-		if (fault instanceof io.undertow.server.RequestTooBigException) {
+	private void received(ApiExchange api, ByteArrayOutputStream body, boolean isTooLarge, Consumer next) {
+		if (isTooLarge) {
 			api.error(tooLarge());
 			closeSoon(api.exchange());
 			return;
 		}
-		IoUtils.safeClose(api.exchange().getConnection());
+		next.accept(body.toByteArray());
+	}
+
+	private ApiError tooLarge() {
+		return ApiError.notRun(ErrorCode.BODY_TOO_LARGE,
+				"The body may have at most " + this.limits.maxBodyBytes() + " bytes; send less.");
 	}
 
 	private void timedOut(ApiExchange api) {
--- a/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
+++ b/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
@@ -99,8 +99,8 @@
 			this.router.finish(send.attempt(), AttemptOutcome.CANCELLED);
 			// Settling blocks, so it must not run on the thread of the router.
 			this.context.timer()
-				.after(Duration.ZERO, () -> notRun(new TrafficAction.Refuse(this.traffic.id(),
-						TrafficAction.Reason.QUEUE_FULL, RETRY_AFTER)));
+				.after(Duration.ZERO, () -> notRun(
+						new TrafficAction.Refuse(this.traffic.id(), TrafficAction.Reason.QUEUE_FULL, RETRY_AFTER)));
 		}
 	}
 
--- a/entry/src/main/java/org/celeryhill/entry/SseChannel.java
+++ b/entry/src/main/java/org/celeryhill/entry/SseChannel.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -74,7 +75,7 @@
 		this.queue.add(event);
 		if (this.pending.addAndGet(event.length) > this.maxPending) {
 			LOG.info("slow_caller_disconnected", "pending", this.pending.get());
-			this.exchange.getIoThread().execute(this::breakOff);
+			onIoThread(this::breakOff);
 			return;
 		}
 		schedule();
@@ -88,7 +89,17 @@
 
 	private void schedule() {
 		if (this.isScheduled.compareAndSet(false, true)) {
-			this.exchange.getIoThread().execute(this::drain);
+			onIoThread(this::drain);
+		}
+	}
+
+	private void onIoThread(Runnable task) {
+		try {
+			this.exchange.getIoThread().execute(task);
+		}
+		catch (RejectedExecutionException ex) {
+			// The server has stopped and closed the connection.
+			this.isClosed = true;
 		}
 	}
 
