--- a/http/src/main/java/org/celeryhill/http/EngineStream.java
+++ b/http/src/main/java/org/celeryhill/http/EngineStream.java
@@ -97,11 +97,20 @@
 			if (count < 0) {
 				return failed(Failure.BROKEN, "stream ended without an end marker");
 			}
-			this.parser.feed(ByteBuffer.wrap(this.buffer, 0, count), this.pending);
+			parse(count);
 		}
 		return this.pending.get(this.next++);
 	}
 
+	private void parse(int count) {
+		try {
+			this.parser.feed(ByteBuffer.wrap(this.buffer, 0, count), this.pending);
+		}
+		catch (IOException ex) {
+			this.pending.add(failed(Failure.BROKEN, HttpExchange.describe(ex)));
+		}
+	}
+
 	private GenerateEvent refusal() throws IOException {
 		int status = this.response.code();
 		String detail = "status " + status;
--- /dev/null
+++ b/http/src/test/java/org/celeryhill/http/HttpServerKitTests.java
@@ -0,0 +1,180 @@
+package org.celeryhill.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.FencingToken;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.base.Region;
+import org.celeryhill.base.ServiceId;
+import org.celeryhill.port.EngineReport;
+import org.celeryhill.port.HostList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards the server toolkit: bounds on requests, graceful stop, operational endpoints.
+ */
+class HttpServerKitTests {
+
+	/** Client of the test. */
+	private final OkHttpClient client = new OkHttpClient();
+
+	/** Server of the test. */
+	private HttpServerKit server;
+
+	@AfterEach
+	void stop() {
+		this.client.dispatcher().executorService().shutdown();
+		this.client.connectionPool().evictAll();
+		this.server.stop(Duration.ofMillis(1));
+	}
+
+	// A request without bounds would exhaust the memory of an entry host.
+	@Test
+	void oversizedHeadAndBodyAreRefused() throws IOException {
+		ServerSettings settings = ServerSettings.defaults().withMaxBodyBytes(100).withMaxHeaderBytes(1000);
+		this.server = HttpServerKit.builder("test")
+			.settings(settings)
+			.prefix("/echo", HttpServerKit.blocking((exchange) -> {
+				byte[] body = exchange.getInputStream().readAllBytes();
+				HttpErrors.sendJson(exchange, 200, body.length);
+			}))
+			.start();
+		assertThat(status(request("/echo").post(RequestBody.create(new byte[100])))).isEqualTo(200);
+		assertThat(status(request("/echo").post(RequestBody.create(new byte[101])))).isNotEqualTo(200);
+		assertThat(status(request("/echo").header("X-Large", "x".repeat(1200)))).isNotEqualTo(200);
+	}
+
+	// A stop that closes connections at once would truncate the answers that run; a new
+	// request must learn that it did not run.
+	@Test
+	void stopWaitsForRunningRequestsAndRefusesNewOnes() throws Exception {
+		CountDownLatch started = new CountDownLatch(1);
+		CountDownLatch release = new CountDownLatch(1);
+		this.server = HttpServerKit.builder("test").exact("/slow", HttpServerKit.blocking((exchange) -> {
+			started.countDown();
+			release.await(5, TimeUnit.SECONDS);
+			HttpErrors.sendJson(exchange, 200, "whole");
+		})).start();
+		CompletableFuture<Integer> running = CompletableFuture.supplyAsync(() -> status(request("/slow")));
+		started.await(5, TimeUnit.SECONDS);
+		CompletableFuture<Boolean> stop = CompletableFuture.supplyAsync(() -> this.server.stop(Duration.ofSeconds(5)));
+		while (status(request("/readyz")) == 200) {
+			Thread.sleep(5);
+		}
+		try (Response refused = this.client.newCall(request("/slow").build()).execute()) {
+			assertThat(refused.code()).isEqualTo(503);
+			assertThat(refused.header("X-Execution")).isEqualTo("not_run");
+		}
+		release.countDown();
+		assertThat(running.get(5, TimeUnit.SECONDS)).isEqualTo(200);
+		assertThat(stop.get(5, TimeUnit.SECONDS)).isTrue();
+	}
+
+	// Operators and the platform must see health, readiness, metrics and state.
+	@Test
+	void operationalEndpointsAnswer() throws IOException {
+		PrometheusRegistry registry = new PrometheusRegistry();
+		Counter.builder().name("requests_total").register(registry).inc(3);
+		this.server = HttpServerKit.builder("test")
+			.registry(registry)
+			.readiness(() -> false)
+			.dump(() -> Map.of("queue", 7))
+			.start();
+		assertThat(status(request("/healthz"))).isEqualTo(200);
+		assertThat(status(request("/readyz"))).isEqualTo(503);
+		assertThat(body(request("/metrics"))).contains("requests_total 3.0");
+		assertThat(body(request("/admin/dump"))).isEqualTo("{\"queue\":7}");
+		assertThat(body(request("/nowhere"))).contains("\"code\":\"not_found\"");
+	}
+
+	// A field that is lost on the wire would make an engine look empty or live.
+	@Test
+	void reportAndHostsSurviveTheWire() {
+		EngineReport report = new EngineReport(BackendServerId.of("e"), "e#2", 9, 100, 10,
+				List.of(new EngineReport.Resident(ModelId.of("o/m@1"), 50, EngineReport.ResidentState.READY)),
+				List.of(AttemptId.of("c1")), new FencingToken(4), true, EngineReport.Role.DECODE, 1, 2, 3, 4, 5.5, 6.5,
+				true);
+		HostList.Entry entry = new HostList.Entry(BackendServerId.of("e"), HostList.Kind.ENGINE, ServiceId.of("s"),
+				java.net.URI.create("http://127.0.0.1:1"), DataCentre.of("d"), Region.of("r"), true);
+		Map<ModelId, Long> sizes = Map.of(ModelId.of("o/m@1"), 50L);
+		this.server = HttpServerKit.builder("test")
+			.exact("/v1/report", (exchange) -> HttpErrors.sendJson(exchange, 200, report))
+			.exact("/v1/hosts",
+					(exchange) -> HttpErrors.sendJson(exchange, 200, new WireMessages.HostEntries(List.of(entry))))
+			.exact("/v1/weights", (exchange) -> HttpErrors.sendJson(exchange, 200, new WireMessages.WeightSizes(sizes)))
+			.start();
+		ClientSettings settings = ClientSettings.defaults();
+		assertThat(HttpEngine.create(report.engine(), this.server.uri(), this.client, settings).report())
+			.contains(report);
+		assertThat(HttpHostList.create(this.server.uri(), this.client, settings).read()).contains(List.of(entry));
+		assertThat(HttpWeightStore.create(this.server.uri(), this.client, settings).sizes()).contains(sizes);
+	}
+
+	// A process that stops at the first wrong setting makes its operator start it again
+	// for each of the others.
+	@Test
+	void settingsAreReportedTogetherWithTheirVariables() {
+		SettingsChecks checks = SettingsChecks.create()
+			.requireText("--host-id", "")
+			.requireAddress("--address", "entry.example")
+			.requireAddress("--address", "::1")
+			.requirePort("--port", 70_000)
+			.requirePositive("--grace", Duration.ZERO);
+		assertThat(checks.isValid()).isFalse();
+		assertThat(checks.findings()).hasSize(4);
+		assertThat(checks.findings().get(0).message()).contains("CELERYHILL_HOST_ID");
+		this.server = HttpServerKit.builder("test").start();
+	}
+
+	// A line break in a message would forge a second event in the log.
+	@Test
+	void logRecordStaysOnOneLine() {
+		LogRecord entry = new LogRecord(Level.INFO, "first\nevent=forged");
+		entry.setLoggerName("test");
+		entry.setThrown(new IOException("broken\npipe"));
+		String line = new LogSetup.KeyValueFormatter().format(entry);
+		assertThat(line.strip()).doesNotContain("\n").contains("text=\"first\\nevent=forged\"");
+		this.server = HttpServerKit.builder("test").start();
+	}
+
+	private Request.Builder request(String path) {
+		return new Request.Builder().url(this.server.uri() + path);
+	}
+
+	private int status(Request.Builder request) {
+		try (Response response = this.client.newCall(request.build()).execute()) {
+			return response.code();
+		}
+		catch (IOException ex) {
+			return -1;
+		}
+	}
+
+	private String body(Request.Builder request) throws IOException {
+		try (Response response = this.client.newCall(request.build()).execute()) {
+			return Optional.ofNullable(response.body()).orElseThrow().string();
+		}
+	}
+
+}
