--- /dev/null
+++ b/standin/src/main/java/org/celeryhill/standin/LoadOptions.java
@@ -0,0 +1,137 @@
+package org.celeryhill.standin;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+
+import org.celeryhill.http.SettingsChecks;
+import picocli.CommandLine.Option;
+
+/**
+ * Settings of the load generator, as flags and environment variables. Not thread-safe;
+ * filled by picocli before use.
+ */
+final class LoadOptions {
+
+	/** Servers that requests are sent to, in turn. */
+	@Option(names = "--target", split = ",", description = "address of the entry daemon, or of engines with --direct")
+	private List<URI> targets = List.of();
+
+	/** Whether the wire format of an engine is spoken. */
+	@Option(names = "--direct", description = "speak the wire format of an engine")
+	private boolean isDirect;
+
+	/** Requests a second. */
+	@Option(names = "--rate", defaultValue = "10", description = "requests a second")
+	private double rate;
+
+	/** Streams at once. */
+	@Option(names = "--concurrency", defaultValue = "1000",
+			description = "most streams at once; a start that has to wait counts as late")
+	private int concurrency;
+
+	/** Time in which requests are measured. */
+	@Option(names = "--duration", defaultValue = "PT20S", description = "time in which requests are measured")
+	private Duration duration;
+
+	/** Time before it. */
+	@Option(names = "--warm-up", defaultValue = "PT10S", description = "time before it, not measured")
+	private Duration warmUp;
+
+	/** Tokens of an answer. */
+	@Option(names = "--tokens", defaultValue = "250", description = "tokens of an answer, at most 255")
+	private int tokens;
+
+	/** Length of a prompt. */
+	@Option(names = "--prompt-chars", defaultValue = "400", description = "length of a prompt in characters")
+	private int promptChars;
+
+	/** Models, in turn. */
+	@Option(names = "--model", split = ",", description = "models that are asked for, in turn")
+	private List<String> models = List.of();
+
+	/** API key. */
+	@Option(names = "--api-key", defaultValue = "", description = "API key for the entry daemon")
+	private String apiKey;
+
+	/** Priority class. */
+	@Option(names = "--priority", defaultValue = "urgent", description = "urgent, normal or batch")
+	private String priority;
+
+	/** Process whose use of the processor and memory is reported. */
+	@Option(names = "--watch-pid", defaultValue = "0", description = "process whose CPU time and memory are reported")
+	private long watchPid;
+
+	SettingsChecks check() {
+		SettingsChecks checks = SettingsChecks.create()
+			.require(!this.targets.isEmpty(), "--target", "at least one address is required")
+			.require(!this.models.isEmpty(), "--model", "at least one model is required")
+			.requireRange("--rate", this.rate, 0.01, 10_000)
+			.requireRange("--concurrency", this.concurrency, 1, 10_000)
+			.requireRange("--tokens", this.tokens, 1, 255)
+			.requireRange("--prompt-chars", this.promptChars, 1, 100_000)
+			.requireRange("--duration", this.duration.toMillis() / 1e3, 0.1, 600)
+			.requireRange("--warm-up", this.warmUp.toMillis() / 1e3, 0, 600)
+			.require(List.of("urgent", "normal", "batch").contains(this.priority), "--priority",
+					"must be urgent, normal or batch");
+		for (URI target : this.targets) {
+			checks.requireHttpUri("--target", target)
+				.require(target.getHost() != null && target.getHost().startsWith("127."), "--target",
+						"load is sent to loopback addresses only");
+		}
+		return checks;
+	}
+
+	URI target(long index) {
+		return this.targets.get((int) (index % this.targets.size()));
+	}
+
+	List<URI> targets() {
+		return this.targets;
+	}
+
+	String model(long index) {
+		return this.models.get((int) (index % this.models.size()));
+	}
+
+	boolean isDirect() {
+		return this.isDirect;
+	}
+
+	double rate() {
+		return this.rate;
+	}
+
+	int concurrency() {
+		return this.concurrency;
+	}
+
+	Duration duration() {
+		return this.duration;
+	}
+
+	Duration warmUp() {
+		return this.warmUp;
+	}
+
+	int tokens() {
+		return this.tokens;
+	}
+
+	int promptChars() {
+		return this.promptChars;
+	}
+
+	String apiKey() {
+		return this.apiKey;
+	}
+
+	String priority() {
+		return this.priority;
+	}
+
+	long watchPid() {
+		return this.watchPid;
+	}
+
+}
