Read the streams of engines on shared I/O threads

Change: HttpEngine reads streams with StreamClient; events are delivered on the I/O thread of the connection, with backpressure by pausing reads.

--- a/http/src/main/java/org/celeryhill/http/HttpEngine.java
+++ b/http/src/main/java/org/celeryhill/http/HttpEngine.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -17,6 +18,7 @@
 import org.celeryhill.port.EngineReport;
 import org.celeryhill.port.GenerateEvent;
 import org.celeryhill.port.GenerateRequest;
+import org.xnio.XnioWorker;
 
 /**
  * Model engine over HTTP; streams are server-sent events. Timeouts between the events of
@@ -30,8 +32,15 @@
 	/** Error code of an answer to a command with an old fencing token. */
 	static final String STALE_TOKEN = "stale_token";
 
-	/** Scheduler that streams are read on. */
-	private static final Scheduler STREAMS = Schedulers.io();
+	/** Scheduler that cancellations are sent on. */
+	private static final Scheduler CANCELLATIONS = Schedulers.io();
+
+	/** Headers of a request for a stream. */
+	private static final Map<String, String> STREAM_HEADERS = Map.of("Accept", StreamFormat.CONTENT_TYPE,
+			"Content-Type", "application/json");
+
+	/** Empty body. */
+	private static final byte[] NO_BYTES = new byte[0];
 
 	/** Id of the engine. */
 	private final BackendServerId id;
@@ -39,13 +48,18 @@
 	/** Sends the requests. */
 	private final HttpExchange exchange;
 
-	private HttpEngine(BackendServerId id, HttpExchange exchange) {
+	/** Reads the streams. */
+	private final StreamClient streams;
+
+	private HttpEngine(BackendServerId id, HttpExchange exchange, StreamClient streams) {
 		this.id = id;
 		this.exchange = exchange;
+		this.streams = streams;
 	}
 
 	/**
-	 * Returns an adapter.
+	 * Returns an adapter whose streams are read on the I/O threads of
+	 * {@link IoWorkers#shared()}.
 	 * @param id the id of the engine, not null
 	 * @param base the address of the engine, not null
 	 * @param client the shared client, not null
@@ -53,7 +67,22 @@
 	 * @return the adapter, never null
 	 */
 	public static HttpEngine create(BackendServerId id, URI base, OkHttpClient client, ClientSettings settings) {
-		return new HttpEngine(id, HttpExchange.of(base, client, settings));
+		return create(id, base, client, settings, IoWorkers.shared());
+	}
+
+	/**
+	 * Returns an adapter.
+	 * @param id the id of the engine, not null
+	 * @param base the address of the engine, not null
+	 * @param client the shared client for all but streams, not null
+	 * @param settings the limits, not null
+	 * @param worker the worker on whose I/O threads streams are read, not null
+	 * @return the adapter, never null
+	 */
+	public static HttpEngine create(BackendServerId id, URI base, OkHttpClient client, ClientSettings settings,
+			XnioWorker worker) {
+		return new HttpEngine(id, HttpExchange.of(base, client, settings),
+				StreamClient.create(base, worker, settings.connectTimeout()));
 	}
 
 	@Override
@@ -95,20 +124,29 @@
 
 	@Override
 	public Flowable<GenerateEvent> generate(GenerateRequest request) {
-		return EngineStream.events(this.exchange, post("v1/streams", request), request.attempt()).subscribeOn(STREAMS);
+		byte[] body = Json.write(request);
+		String path = toPath(this.exchange.url("v1/streams").build());
+		return EngineStream.events((listener) -> this.streams.start("POST", path, STREAM_HEADERS, body, listener),
+				request.attempt());
 	}
 
 	@Override
 	public Flowable<GenerateEvent> resume(AttemptId attempt, int offset) {
 		HttpUrl url = streamUrl(attempt).addQueryParameter("offset", Integer.toString(offset)).build();
-		return EngineStream.events(this.exchange, get(url), attempt).subscribeOn(STREAMS);
+		return EngineStream
+			.events((listener) -> this.streams.start("GET", toPath(url), STREAM_HEADERS, NO_BYTES, listener), attempt);
+	}
+
+	private static String toPath(HttpUrl url) {
+		String query = url.encodedQuery();
+		return (query != null) ? url.encodedPath() + "?" + query : url.encodedPath();
 	}
 
 	@Override
 	public void cancel(AttemptId attempt) {
 		Request.Builder request = new Request.Builder().url(streamUrl(attempt).build())
-			.delete(HttpExchange.oneShot(null, new byte[0]));
-		STREAMS.scheduleDirect(() -> this.exchange.send(request));
+			.delete(HttpExchange.oneShot(null, NO_BYTES));
+		CANCELLATIONS.scheduleDirect(() -> this.exchange.send(request));
 	}
 
 	@Override
--- a/http/src/main/java/org/celeryhill/http/StreamCall.java
+++ b/http/src/main/java/org/celeryhill/http/StreamCall.java
@@ -151,10 +151,20 @@
 	}
 
 	private void breakOff(IOException cause) {
-		IoUtils.safeClose(this.connection);
+		close(this.connection);
 		fail(cause);
 	}
 
+	/**
+	 * Closes a connection at once. Without the end of reading, Undertow would read and
+	 * drop the rest of the answer for up to ten seconds before it closes the connection.
+	 * @param open the connection, not null
+	 */
+	private void close(ClientConnection open) {
+		IoUtils.safeClose(this.source);
+		IoUtils.safeClose(open);
+	}
+
 	void fail(IOException cause) {
 		if (!this.isDone) {
 			this.isDone = true;
@@ -190,7 +200,7 @@
 			open.getIoThread().execute(() -> {
 				if (!this.isDone) {
 					this.isDone = true;
-					IoUtils.safeClose(open);
+					close(open);
 				}
 			});
 		}
--- a/http/src/test/java/org/celeryhill/http/EngineStreamTests.java
+++ b/http/src/test/java/org/celeryhill/http/EngineStreamTests.java
@@ -153,8 +153,12 @@
 		try (RawServer server = RawServer.start((connection) -> {
 			connection.readRequest();
 			connection.write(HEAD + new String(StreamFormat.write(token(0, "one")), StandardCharsets.UTF_8));
-			connection.socket().getInputStream().read();
-			closed.countDown();
+			try {
+				connection.socket().getInputStream().read();
+			}
+			finally {
+				closed.countDown();
+			}
 		})) {
 			TestSubscriber<GenerateEvent> subscriber = new TestSubscriber<>();
 			engine(server.uri()).generate(request()).subscribe(subscriber);
--- a/http/src/test/java/org/celeryhill/http/RawServer.java
+++ b/http/src/test/java/org/celeryhill/http/RawServer.java
@@ -21,15 +21,18 @@
 	/** Requests whose head was read. */
 	private final AtomicInteger requests = new AtomicInteger();
 
+	/** Thread that accepts connections. */
+	private Thread thread;
+
 	private RawServer(ServerSocket listener) {
 		this.listener = listener;
 	}
 
 	static RawServer start(Handler handler) throws IOException {
 		RawServer server = new RawServer(new ServerSocket(0, 16, InetAddress.getLoopbackAddress()));
-		Thread thread = new Thread(() -> server.run(handler), "raw-server");
-		thread.setDaemon(true);
-		thread.start();
+		server.thread = new Thread(() -> server.run(handler), "raw-server");
+		server.thread.setDaemon(true);
+		server.thread.start();
 		return server;
 	}
 
@@ -53,9 +56,20 @@
 		return this.requests.get();
 	}
 
+	/**
+	 * Stops listening. The kernel accepts connections until the accepting thread has left
+	 * its system call, so that thread is awaited.
+	 * @throws IOException if the socket cannot be closed
+	 */
 	@Override
 	public void close() throws IOException {
 		this.listener.close();
+		try {
+			this.thread.join(2000);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	/** Handles one connection, which is closed when it returns. */
