Add the planner daemon

Cause: no process placed models on engines, so no model request could be served from end to end.

Change: leases per service, reports, command ledger, planning rounds, recording before sending, resending without effect, planned stops, reasons for explain, demand from rows of the entry daemons, metrics, dump, graceful shutdown that gives leases back.

Conclusion: the whole path can be tried.

--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/EngineObservation.java
@@ -0,0 +1,44 @@
+package org.celeryhill.planner;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.celeryhill.port.Engine;
+import org.celeryhill.port.EngineReport;
+import org.celeryhill.port.HostList;
+
+/**
+ * What this process knows of an engine. Immutable and thread-safe.
+ *
+ * @param entry the latest entry of the host list, not null
+ * @param engine the adapter, not null
+ * @param report the latest report, empty before the first, not null
+ * @param requestedNanos when that report was asked for, in monotonic nanoseconds
+ * @param answeredNanos when it arrived, in monotonic nanoseconds
+ */
+record EngineObservation(HostList.Entry entry, Engine engine, Optional<EngineReport> report, long requestedNanos,
+		long answeredNanos) {
+
+	EngineObservation {
+		Objects.requireNonNull(entry, "entry");
+		Objects.requireNonNull(engine, "engine");
+		Objects.requireNonNull(report, "report");
+	}
+
+	EngineObservation withReport(EngineReport next, long requested, long answered) {
+		return new EngineObservation(this.entry, this.engine, Optional.of(next), requested, answered);
+	}
+
+	EngineObservation withEntry(HostList.Entry next) {
+		return new EngineObservation(next, this.engine, this.report, this.requestedNanos, this.answeredNanos);
+	}
+
+	boolean isSuspect(long now, long silenceNanos) {
+		return this.report.isEmpty() || now - this.answeredNanos > silenceNanos;
+	}
+
+	boolean isLeaving() {
+		return this.entry.leaving() || this.report.filter(EngineReport::isLeaving).isPresent();
+	}
+
+}
--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
@@ -0,0 +1,224 @@
+package org.celeryhill.planner;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.ServiceId;
+import org.celeryhill.placement.PlacementPlan;
+import org.celeryhill.placement.PlacementPlanner;
+import org.celeryhill.placement.PlanInput;
+import org.celeryhill.placement.PlanInput.EngineState;
+import org.celeryhill.placement.ReplicaPlacementPlanner;
+import org.celeryhill.state.CommandLedger;
+import org.celeryhill.state.EngineLedger;
+import org.celeryhill.state.Lease;
+import org.celeryhill.state.LeaseName;
+import org.celeryhill.state.LeaseStore;
+
+/**
+ * Plans the engines of one service while this process holds the service's lease. Rounds
+ * run one at a time; other threads only read the status. One round: renew the lease, read
+ * reports and ledgers, settle, plan, record and send.
+ */
+final class GroupPlanner {
+
+	/** Log of this class. */
+	private static final EventLog LOG = EventLog.of(GroupPlanner.class);
+
+	/** Service that is planned. */
+	private final ServiceId service;
+
+	/** What all groups share. */
+	private final PlannerContext context;
+
+	/** Sends commands. */
+	private final CommandSender sender;
+
+	/** Writes reasons. */
+	private final ReasonWriter reasons;
+
+	/**
+	 * Decides; renewed with each grant, so that it starts without knowledge of its own.
+	 */
+	private PlacementPlanner planner = ReplicaPlacementPlanner.create();
+
+	/** Lease, empty while another process holds it. */
+	private volatile Optional<Lease> lease = Optional.empty();
+
+	/** Latest plan, for the dump. */
+	private volatile PlacementPlan plan = new PlacementPlan(List.of(), List.of(), Map.of());
+
+	/** Rounds that were planned. */
+	private volatile long rounds;
+
+	GroupPlanner(ServiceId service, PlannerContext context) {
+		this.service = Objects.requireNonNull(service, "service");
+		this.context = Objects.requireNonNull(context, "context");
+		this.sender = new CommandSender(context.ledger(), context.timer(), context.settings().resendAfter);
+		this.reasons = new ReasonWriter(context.writer(), service);
+	}
+
+	/** Runs one round if this process holds the lease or gets it. Blocks. */
+	void run() {
+		if (!renew()) {
+			return;
+		}
+		this.context.fleet().refreshReports(this.service);
+		Optional<Map<BackendServerId, EngineLedger>> ledgers = ledgers();
+		if (ledgers.isEmpty() || !this.context.isEarlierClosed() || !isLeaseUsable()) {
+			return;
+		}
+		Lease held = this.lease.orElseThrow();
+		Map<BackendServerId, EngineObservation> engines = new HashMap<>();
+		List<EngineState> states = new ArrayList<>();
+		for (EngineObservation observed : this.context.fleet().engines(this.service)) {
+			EngineLedger ledger = ledgers.get()
+				.getOrDefault(observed.entry().id(), EngineLedger.empty(observed.entry().id()));
+			state(observed, ledger).ifPresent((state) -> {
+				states.add(state);
+				engines.put(state.id(), observed);
+			});
+		}
+		plan(states);
+		send(held, engines, ledgers.get());
+		this.reasons.write(this.plan.reasons());
+	}
+
+	private boolean renew() {
+		LeaseStore leases = this.context.leases();
+		if (this.lease.isEmpty()) {
+			if (leases.acquire(LeaseName.of(this.service)) instanceof LeaseStore.Granted granted) {
+				this.lease = Optional.of(granted.lease());
+				this.planner = ReplicaPlacementPlanner.create();
+				LOG.info("lease_granted", "service", this.service, "token", granted.lease().token().value());
+			}
+			return isLeaseUsable();
+		}
+		Lease held = this.lease.get();
+		if (held.isRenewalDue(this.context.timer().nanoTime())) {
+			LeaseStore.RenewResult result = leases.renew(held);
+			if (result instanceof LeaseStore.Granted granted) {
+				this.lease = Optional.of(granted.lease());
+			}
+			else if (result instanceof LeaseStore.Lost) {
+				LOG.info("lease_lost", "service", this.service, "token", held.token().value());
+				this.lease = Optional.empty();
+			}
+		}
+		if (!isLeaseUsable() && this.lease.isPresent()) {
+			LOG.warn("lease_expired", "service", this.service, "token", held.token().value());
+			this.lease = Optional.empty();
+		}
+		return isLeaseUsable();
+	}
+
+	private boolean isLeaseUsable() {
+		return this.lease.filter((held) -> held.isUsable(this.context.timer().nanoTime())).isPresent();
+	}
+
+	private Optional<Map<BackendServerId, EngineLedger>> ledgers() {
+		CommandLedger ledger = this.context.ledger();
+		if (!(ledger.loadAll() instanceof CommandLedger.LoadedAll all)) {
+			return Optional.empty();
+		}
+		Map<BackendServerId, EngineLedger> ledgers = new HashMap<>(all.ledgers());
+		for (EngineObservation observed : this.context.fleet().engines(this.service)) {
+			EngineLedger known = ledgers.get(observed.entry().id());
+			if (known == null || known.entries().isEmpty() || observed.report().isEmpty()) {
+				continue;
+			}
+			closeGoneSenders(known);
+			CommandLedger.ChangeResult changed = ledger.settle(observed.report().get(), observed.requestedNanos());
+			if (!(changed instanceof CommandLedger.Changed settled)) {
+				return Optional.empty();
+			}
+			ledgers.put(observed.entry().id(), settled.ledger());
+		}
+		return Optional.of(ledgers);
+	}
+
+	private void closeGoneSenders(EngineLedger ledger) {
+		Set<HostId> senders = ledger.entries()
+			.stream()
+			.flatMap((entry) -> entry.openSenders().stream())
+			.map((sender) -> sender.host())
+			.collect(Collectors.toSet());
+		for (HostId host : senders) {
+			if (this.context.fleet().isGone(host, this.context.settings().hostGoneAfter)) {
+				this.context.ledger().closeSenders(ledger.engine(), host);
+			}
+		}
+	}
+
+	private Optional<EngineState> state(EngineObservation observed, EngineLedger ledger) {
+		if (observed.report().isEmpty() || ledger.isOlder(observed.report().get())) {
+			return Optional.empty();
+		}
+		long now = this.context.timer().nanoTime();
+		boolean isLeaving = observed.isLeaving() || this.context.stops().isStopping(observed.entry());
+		boolean isSuspect = observed.isSuspect(now, this.context.settings().suspectAfter.toNanos());
+		long counted = Math.max(ledger.countedBytes(observed.report().get()),
+				ledger.bytesAfterRestart(observed.report().get()));
+		return Optional.of(new EngineState(observed.entry().id(), observed.entry().dataCentre(),
+				observed.report().get(), counted, ledger.outstandingLoads(), ledger.unloads(), isLeaving, isSuspect));
+	}
+
+	private void plan(List<EngineState> states) {
+		PlanInput input = new PlanInput(this.service, this.context.revisions().revision(), states,
+				this.context.demand().demand(), this.context.timer().nanoTime(), 1);
+		this.plan = this.planner.plan(input);
+		this.rounds++;
+	}
+
+	private void send(Lease held, Map<BackendServerId, EngineObservation> engines,
+			Map<BackendServerId, EngineLedger> ledgers) {
+		Map<BackendServerId, List<PlacementPlan.Step>> byEngine = this.plan.steps()
+			.stream()
+			.collect(Collectors.groupingBy(PlacementPlan.Step::engine, LinkedHashMap::new, Collectors.toList()));
+		Set<BackendServerId> targets = new TreeSet<>(byEngine.keySet());
+		targets.addAll(ledgers.keySet());
+		targets.retainAll(engines.keySet());
+		Scheduler workers = this.context.workers();
+		Flowable.fromIterable(targets).flatMapCompletable((id) -> Completable.fromAction(() -> {
+			byEngine.getOrDefault(id, List.of()).forEach((step) -> this.sender.send(held, engines.get(id), step));
+			Optional.ofNullable(ledgers.get(id))
+				.ifPresent((ledger) -> this.sender.resend(held, engines.get(id), ledger));
+		}).subscribeOn(workers), true, this.context.settings().workerThreads).blockingAwait();
+	}
+
+	/** Gives the lease back, so that another planner takes over at once. Blocks. */
+	void release() {
+		this.lease.ifPresent((held) -> this.context.leases().release(held));
+		this.lease = Optional.empty();
+	}
+
+	boolean isHolder() {
+		return isLeaseUsable();
+	}
+
+	Map<String, Object> dump() {
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("service", this.service.value());
+		dump.put("holder", isHolder());
+		dump.put("fencingToken", this.lease.map((held) -> held.token().value()).orElse(0L));
+		dump.put("rounds", this.rounds);
+		dump.put("steps", this.plan.steps().stream().map(Object::toString).toList());
+		dump.put("findings", this.plan.findings().stream().map(Object::toString).toList());
+		return dump;
+	}
+
+}
--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerMain.java
@@ -0,0 +1,88 @@
+package org.celeryhill.planner;
+
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+
+import okhttp3.OkHttpClient;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.SystemTimerService;
+import org.celeryhill.http.ClientSettings;
+import org.celeryhill.http.EnvironmentDefaults;
+import org.celeryhill.http.HttpEngine;
+import org.celeryhill.http.HttpHostList;
+import org.celeryhill.http.HttpObjectService;
+import org.celeryhill.http.HttpPlainService;
+import org.celeryhill.http.HttpTableService;
+import org.celeryhill.http.LogSetup;
+import org.celeryhill.http.SettingsChecks;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/**
+ * Process of the planner daemon. It runs until SIGTERM or SIGINT and then gives its
+ * leases back and ends with exit status 0; unusable settings end it at once with exit
+ * status 2.
+ */
+@Command(name = "celeryhill-planner", mixinStandardHelpOptions = true,
+		description = "Plans which engine holds which model, and sends commands to engines.")
+public final class PlannerMain implements Callable<Integer> {
+
+	/** Log of this class. */
+	private static final EventLog LOG = EventLog.of(PlannerMain.class);
+
+	/** Settings. */
+	@Mixin
+	private PlannerSettings settings = new PlannerSettings();
+
+	/**
+	 * Runs the process.
+	 * @param args the flags, not null
+	 */
+	public static void main(String[] args) {
+		CommandLine command = new CommandLine(new PlannerMain());
+		command.setDefaultValueProvider(new EnvironmentDefaults());
+		System.exit(command.execute(args));
+	}
+
+	@Override
+	public Integer call() throws InterruptedException {
+		SettingsChecks checks = this.settings.check();
+		checks.print(new PrintWriter(System.err, true));
+		if (!checks.isValid()) {
+			return SettingsChecks.EXIT_STATUS;
+		}
+		LogSetup.install((this.settings.isVerbose) ? Level.FINE : Level.INFO);
+		CountDownLatch stopSignal = new CountDownLatch(1);
+		onSignal("TERM", stopSignal::countDown);
+		onSignal("INT", stopSignal::countDown);
+		PlannerDaemon daemon = new PlannerDaemon(this.settings, ports());
+		daemon.start();
+		stopSignal.await();
+		daemon.stop();
+		LOG.info("planner_stopped", "host", this.settings.hostId);
+		return 0;
+	}
+
+	// A shutdown hook would run while the log is being closed and could not set the exit
+	// status to 0, so the signals are handled directly.
+	private static void onSignal(String name, Runnable action) {
+		sun.misc.Signal.handle(new sun.misc.Signal(name), (signal) -> action.run());
+	}
+
+	private PlannerPorts ports() {
+		OkHttpClient client = new OkHttpClient();
+		ClientSettings limits = ClientSettings.defaults()
+			.withConnectTimeout(this.settings.connectTimeout)
+			.withAnswerTimeout(this.settings.storeTimeout);
+		return new PlannerPorts(SystemTimerService.create(),
+				HttpTableService.create(this.settings.tableUrl, client, limits),
+				HttpObjectService.create(this.settings.objectUrl, client, limits),
+				HttpHostList.create(this.settings.hostListUrl, client, limits),
+				(entry) -> HttpEngine.create(entry.id(), entry.address(), client, limits),
+				(entry) -> HttpPlainService.create(entry.id(), entry.address(), client, limits));
+	}
+
+}
--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerMetrics.java
@@ -0,0 +1,57 @@
+package org.celeryhill.planner;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Prometheus metrics of the planner daemon. Thread-safe.
+ */
+final class PlannerMetrics {
+
+	/** Rounds by service. */
+	private final Counter rounds;
+
+	/** Time of rounds, in seconds. */
+	private final Histogram seconds;
+
+	/** Whether the lease is held, by service. */
+	private final Gauge holder;
+
+	/** Rounds that failed. */
+	private final Counter failures;
+
+	PlannerMetrics(PrometheusRegistry registry) {
+		this.rounds = Counter.builder()
+			.name("planner_rounds")
+			.help("Planning rounds by service")
+			.labelNames("service")
+			.register(registry);
+		this.seconds = Histogram.builder()
+			.name("planner_round_seconds")
+			.help("Time of a planning round")
+			.classicOnly()
+			.register(registry);
+		this.holder = Gauge.builder()
+			.name("planner_lease_held")
+			.help("1 while the lease of the service is held")
+			.labelNames("service")
+			.register(registry);
+		this.failures = Counter.builder()
+			.name("planner_round_failures")
+			.help("Rounds that ended with an unexpected error")
+			.register(registry);
+	}
+
+	void round(String service, boolean isHolder, double duration) {
+		this.rounds.labelValues(service).inc();
+		this.seconds.observe(duration);
+		this.holder.labelValues(service).set((isHolder) ? 1 : 0);
+	}
+
+	void failure() {
+		this.failures.inc();
+	}
+
+}
--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerPorts.java
@@ -0,0 +1,35 @@
+package org.celeryhill.planner;
+
+import java.util.Objects;
+import java.util.function.Function;
+
+import org.celeryhill.base.TimerService;
+import org.celeryhill.port.Engine;
+import org.celeryhill.port.HostList;
+import org.celeryhill.port.ObjectService;
+import org.celeryhill.port.PlainService;
+import org.celeryhill.port.TableService;
+
+/**
+ * Everything outside the daemon that it works with. Immutable and thread-safe.
+ *
+ * @param timer the time, not null
+ * @param table the table service, not null
+ * @param objects the object service, not null
+ * @param hosts the host list, not null
+ * @param engines creates the adapter of an engine, not null
+ * @param plain creates the adapter of a plain server, not null
+ */
+record PlannerPorts(TimerService timer, TableService table, ObjectService objects, HostList hosts,
+		Function<HostList.Entry, Engine> engines, Function<HostList.Entry, PlainService> plain) {
+
+	PlannerPorts {
+		Objects.requireNonNull(timer, "timer");
+		Objects.requireNonNull(table, "table");
+		Objects.requireNonNull(objects, "objects");
+		Objects.requireNonNull(hosts, "hosts");
+		Objects.requireNonNull(engines, "engines");
+		Objects.requireNonNull(plain, "plain");
+	}
+
+}
--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/StopTracker.java
@@ -0,0 +1,176 @@
+package org.celeryhill.planner;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.base.TimerService;
+import org.celeryhill.port.EngineReport;
+import org.celeryhill.port.HostList;
+import org.celeryhill.port.PlainService;
+import org.celeryhill.state.PlannedStop;
+import org.celeryhill.state.PlannedStops;
+import org.celeryhill.state.StopTarget;
+
+/**
+ * Follows planned stops and reports how far those of backend servers and data centres
+ * are. Rounds run one at a time; {@link #isStopping} may be called from any thread.
+ */
+final class StopTracker {
+
+	/**
+	 * Time after a stop was first seen before it can be done: entry daemons may send for
+	 * 5 s after the announcement, and reports lag.
+	 */
+	static final Duration SETTLE_TIME = Duration.ofSeconds(8);
+
+	/** Log of this class. */
+	private static final EventLog LOG = EventLog.of(StopTracker.class);
+
+	/** Rows of the stops. */
+	private final PlannedStops rows;
+
+	/** Time. */
+	private final TimerService timer;
+
+	/** This host. */
+	private final HostId host;
+
+	/** When each announcement was first seen, in monotonic nanoseconds. */
+	private final Map<AttemptId, Long> firstSeen = new HashMap<>();
+
+	/** Stops that are in effect. */
+	private volatile List<PlannedStop> stops = List.of();
+
+	StopTracker(PlannedStops rows, TimerService timer, HostId host) {
+		this.rows = Objects.requireNonNull(rows, "rows");
+		this.timer = Objects.requireNonNull(timer, "timer");
+		this.host = Objects.requireNonNull(host, "host");
+	}
+
+	/** Reads the stops; without an answer the known ones stay. Blocks. */
+	void refresh() {
+		if (!(this.rows.list() instanceof PlannedStops.Listed listed)) {
+			return;
+		}
+		long now = this.timer.nanoTime();
+		List<PlannedStop> active = listed.stops().stream().filter(PlannedStop::isStopping).toList();
+		active.forEach((stop) -> this.firstSeen.putIfAbsent(stop.announcement(), now));
+		this.firstSeen.keySet().removeIf((id) -> active.stream().noneMatch((stop) -> stop.announcement().equals(id)));
+		this.stops = active;
+	}
+
+	/**
+	 * Returns whether a backend server gets no new work because of a planned stop.
+	 * @param entry the backend server, not null
+	 * @return true if a stop includes it
+	 */
+	boolean isStopping(HostList.Entry entry) {
+		return this.stops.stream().anyMatch((stop) -> stop.target().isCovering(entry.id(), entry.dataCentre()));
+	}
+
+	/**
+	 * Returns whether this planner is to be stopped.
+	 * @return true if a stop names it
+	 */
+	boolean isOwnStop() {
+		return this.stops.stream().anyMatch((stop) -> stop.target().equals(StopTarget.planner(this.host)));
+	}
+
+	/** Reports that this planner has given its leases back. Blocks. */
+	void reportOwnDone() {
+		this.stops.stream()
+			.filter((stop) -> stop.target().equals(StopTarget.planner(this.host)))
+			.filter((stop) -> stop.state() != PlannedStop.State.DONE)
+			.forEach(this.rows::done);
+	}
+
+	/**
+	 * Reports the progress of the stops of backend servers and data centres. Only one
+	 * planner does so at a time, but a second one does no harm. Blocks.
+	 * @param engines all engines with fresh reports, not null
+	 * @param plainServers the plain servers with their load, not null
+	 */
+	void reportProgress(List<EngineObservation> engines, Map<HostList.Entry, PlainService.Load> plainServers) {
+		for (PlannedStop stop : this.stops) {
+			boolean isOpen = stop.state() == PlannedStop.State.ANNOUNCED || stop.state() == PlannedStop.State.DRAINING;
+			boolean isServers = stop.target().kind() == StopTarget.Kind.BACKEND_SERVER
+					|| stop.target().kind() == StopTarget.Kind.DATA_CENTRE;
+			if (isOpen && isServers) {
+				report(stop, remaining(stop.target(), engines, plainServers));
+			}
+		}
+	}
+
+	private void report(PlannedStop stop, List<String> remaining) {
+		long seen = this.firstSeen.getOrDefault(stop.announcement(), this.timer.nanoTime());
+		boolean isSettled = this.timer.nanoTime() - seen >= SETTLE_TIME.toNanos();
+		if (remaining.isEmpty() && isSettled) {
+			this.rows.done(stop);
+			LOG.info("planned_stop_done", "target", stop.target().toKey());
+			return;
+		}
+		String progress = (remaining.isEmpty()) ? "waiting for late requests" : String.join("; ", remaining);
+		if (!progress.equals(stop.progress())) {
+			this.rows.progress(stop, progress);
+		}
+	}
+
+	private List<String> remaining(StopTarget target, List<EngineObservation> engines,
+			Map<HostList.Entry, PlainService.Load> plainServers) {
+		List<String> remaining = new ArrayList<>();
+		for (EngineObservation engine : engines) {
+			if (target.isCovering(engine.entry().id(), engine.entry().dataCentre())) {
+				remaining(engine, engines).ifPresent(remaining::add);
+			}
+		}
+		plainServers.forEach((entry, load) -> {
+			boolean isBusy = load.isReachable() && load.running() > 0;
+			if (isBusy && target.isCovering(entry.id(), entry.dataCentre())) {
+				remaining.add(entry.id() + ": " + load.running() + " calls");
+			}
+		});
+		return remaining;
+	}
+
+	private Optional<String> remaining(EngineObservation engine, List<EngineObservation> engines) {
+		Optional<EngineReport> report = engine.report();
+		if (report.isEmpty() || engine.isSuspect(this.timer.nanoTime(), SETTLE_TIME.toNanos())) {
+			return Optional.of(engine.entry().id() + ": no report");
+		}
+		int streams = report.get().running() + report.get().queued();
+		long alone = report.get()
+			.residents()
+			.stream()
+			.filter((resident) -> resident.state() == EngineReport.ResidentState.READY)
+			.filter((resident) -> !isElsewhere(resident.model(), engine.entry().id(), engines))
+			.count();
+		if (streams == 0 && alone == 0) {
+			return Optional.empty();
+		}
+		return Optional.of(engine.entry().id() + ": " + streams + " streams, " + alone + " models without a replica");
+	}
+
+	private boolean isElsewhere(ModelId model, BackendServerId here, List<EngineObservation> engines) {
+		long now = this.timer.nanoTime();
+		return engines.stream()
+			.filter((other) -> !other.entry().id().equals(here))
+			.filter((other) -> !other.isLeaving() && !isStopping(other.entry()))
+			.filter((other) -> !other.isSuspect(now, SETTLE_TIME.toNanos()))
+			.anyMatch((other) -> other.report().filter((report) -> report.isReady(model)).isPresent());
+	}
+
+	List<String> dump() {
+		return this.stops.stream().map((stop) -> stop.target().toKey() + " " + stop.state()).toList();
+	}
+
+}
--- /dev/null
+++ b/planner/src/main/java/org/celeryhill/planner/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Planner daemon: leases, placement and commands to engines.
+ */
+package org.celeryhill.planner;
