Keep idle adapters loaded while memory is free

Cause: a request for an adapter without earlier demand was refused with retries_exhausted in a run of real daemons: adapters were loaded only after demand was seen, while engines refuse requests for an adapter that is not resident.

Change: after the adapters with demand, one and then two replicas of every idle adapter are loaded next to ready replicas of its base where memory is free, within the bound of adapters in flight.

--- a/placement/src/main/java/org/celeryhill/placement/AdapterPhase.java
+++ b/placement/src/main/java/org/celeryhill/placement/AdapterPhase.java
@@ -3,11 +3,17 @@
 import java.util.Optional;
 
 /**
- * Plans the loads of adapters that have demand, next to ready copies of their base. Not
- * thread-safe.
+ * Plans the loads of adapters next to ready replicas of their base: those with demand
+ * first, then one or two replicas of every other adapter while memory is free, so that
+ * the first request for it does not wait for a load. Not thread-safe.
  */
 final class AdapterPhase {
 
+	/**
+	 * Replicas of an adapter without demand that are kept loaded while memory is free.
+	 */
+	private static final int IDLE_REPLICAS = 2;
+
 	/** Round that is being planned. */
 	private final Round round;
 
@@ -23,6 +29,26 @@
 			.sorted((one, other) -> Double.compare(other.demand.value() + other.waiting,
 					one.demand.value() + one.waiting))
 			.forEach(this::place);
+		for (int wanted = 1; wanted <= IDLE_REPLICAS; wanted++) {
+			keepLoaded(wanted);
+		}
+	}
+
+	private void keepLoaded(int wanted) {
+		for (ModelView adapter : this.round.fleet.models.values()) {
+			if (!adapter.isAdapter() || !adapter.isIdle || !adapter.isListed()) {
+				continue;
+			}
+			ModelView base = this.round.fleet.models.get(adapter.spec.base().get());
+			if (base == null || count(adapter, base) >= Math.min(wanted, base.ready())) {
+				continue;
+			}
+			if (!this.round.budget.isAdapterAllowed()) {
+				return;
+			}
+			fitting(adapter, base)
+				.ifPresent((engine) -> this.round.load(engine, adapter, "kept loaded for its first request"));
+		}
 	}
 
 	private void place(ModelView adapter) {
