Test the entry daemon against the stand-ins over loopback

Cause: adapters and daemon had only been tried together by hand. Change: loopback tests, callers that leave before the first byte, role in the first chat event; the attempts of a relay are a class of their own. The test of a lost engine chose the engines to stop while it stopped them, so it could stop the one that had just taken over; it now chooses first.

--- a/entry/src/main/java/org/celeryhill/entry/AnswerFormat.java
+++ b/entry/src/main/java/org/celeryhill/entry/AnswerFormat.java
@@ -35,11 +35,15 @@
 	 * Returns the event of one token.
 	 * @param eventId the signed event id, not null
 	 * @param text the text of the token, not null
+	 * @param isFirst whether it is the first token, which names the role in a chat
 	 * @return the event, never null
 	 */
-	byte[] token(String eventId, String text) {
+	byte[] token(String eventId, String text, boolean isFirst) {
 		StringBuilder event = start(eventId, text.length());
-		event.append(isChat() ? "\"delta\":{\"content\":\"" : "\"text\":\"");
+		event.append(isChat() ? "\"delta\":{" : "\"text\":\"");
+		if (isChat()) {
+			event.append(isFirst ? "\"role\":\"assistant\"," : "").append("\"content\":\"");
+		}
 		JsonStringEncoder.getInstance().quoteAsString(text, event);
 		event.append(isChat() ? "\"},\"finish_reason\":null}]}\n\n" : "\",\"finish_reason\":null}]}\n\n");
 		return event.toString().getBytes(StandardCharsets.UTF_8);
--- a/entry/src/main/java/org/celeryhill/entry/SseSink.java
+++ b/entry/src/main/java/org/celeryhill/entry/SseSink.java
@@ -36,7 +36,7 @@
 	@Override
 	public void token(EventId position, String text) {
 		if (start()) {
-			this.channel.write(this.format.token(encode(position), text));
+			this.channel.write(this.format.token(encode(position), text, position.offset() == 1));
 		}
 	}
 
--- a/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
+++ b/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
@@ -1,15 +1,10 @@
 package org.celeryhill.entry;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 
 import io.reactivex.rxjava3.disposables.Disposable;
-import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.Execution;
 import org.celeryhill.port.Engine;
@@ -53,8 +48,8 @@
 	/** Answer so far. */
 	private final AnswerText answer;
 
-	/** Attempts that run; more than one only while hedged and without a token. */
-	private final Map<AttemptId, EngineAttempt> attempts = new LinkedHashMap<>(2);
+	/** Attempts that run. */
+	private final EngineAttempts attempts;
 
 	/** Whether an attempt may have run that is no longer among the attempts. */
 	private boolean mayHaveRun;
@@ -74,6 +69,7 @@
 		this.answer = Objects.requireNonNull(answer, "answer");
 		this.sink = Objects.requireNonNull(sink, "sink");
 		this.router = Objects.requireNonNull(router, "router");
+		this.attempts = new EngineAttempts(router);
 		this.context = Objects.requireNonNull(context, "context");
 		this.onDone = Objects.requireNonNull(onDone, "onDone");
 	}
@@ -97,7 +93,7 @@
 		Optional<Engine> engine = this.context.engines().apply(origin.engine());
 		EngineAttempt attempt = new EngineAttempt(origin.attempt(), origin.engine(),
 				engine.orElse(MissingEngine.INSTANCE), origin.firstOffset(), false);
-		this.attempts.put(attempt.id(), attempt);
+		this.attempts.add(attempt);
 		attempt.takeResume();
 		readAgain(attempt);
 	}
@@ -106,14 +102,14 @@
 	public synchronized void onSend(TrafficAction.Send send) {
 		setWaiting(false);
 		Optional<Engine> engine = this.context.engines().apply(send.backend());
-		boolean isLate = !this.attempts.isEmpty() && (!send.isHedge() || hasToken());
+		boolean isLate = !this.attempts.isEmpty() && (!send.isHedge() || this.attempts.hasToken());
 		if (this.isDone || isLate) {
 			this.router.finish(send.attempt(), AttemptOutcome.CANCELLED);
 			return;
 		}
 		EngineAttempt attempt = new EngineAttempt(send.attempt(), send.backend(), engine.orElse(MissingEngine.INSTANCE),
 				this.answer.offset(), true);
-		this.attempts.put(attempt.id(), attempt);
+		this.attempts.add(attempt);
 		GenerateRequest request = new GenerateRequest(attempt.id(), this.job.model(), this.job.prompt().orElse(""),
 				this.answer.text(), this.answer.offset(), this.job.maxTokens(), this.job.seed(), this.job.priority());
 		LOG.debug("attempt_sent", "request", this.job.id(), "attempt", attempt.id(), "backend", attempt.backend(),
@@ -173,7 +169,7 @@
 	 * @param now the time in nanoseconds
 	 */
 	synchronized void checkTimeouts(long now) {
-		for (EngineAttempt attempt : List.copyOf(this.attempts.values())) {
+		for (EngineAttempt attempt : this.attempts.copy()) {
 			if (this.isDone || attempt.idleNanos(now) <= this.context.limits().nanos(attempt.phase())) {
 				continue;
 			}
@@ -190,7 +186,7 @@
 		if (this.isDone) {
 			return;
 		}
-		endAttempts(true);
+		this.attempts.endAll(true);
 		this.context.metrics().generationEnded("caller_gone");
 		done();
 	}
@@ -208,8 +204,8 @@
 				.withRetryAfter(RETRY_AFTER_FAILURE), "handed_over");
 			return;
 		}
-		EventId position = position(this.attempts.values().iterator().next());
-		endAttempts(false);
+		EventId position = position(this.attempts.first());
+		this.attempts.endAll(false);
 		this.context.metrics().generationEnded("handed_over");
 		this.sink.handOver(position);
 		done();
@@ -220,7 +216,7 @@
 	 */
 	synchronized void supersede() {
 		if (!this.isDone) {
-			endAttempts(false);
+			this.attempts.endAll(false);
 			this.context.metrics().generationEnded("superseded");
 			this.sink.fail(ApiError.of(ErrorCode.STREAM_NOT_RESUMABLE,
 					"The stream was resumed on another connection; read it there.", Execution.RAN));
@@ -232,7 +228,7 @@
 		AnswerText.Step step = this.answer.append(token.offset(), token.text());
 		switch (step) {
 			case DELIVER, HIDDEN -> {
-				cancelOthers(attempt);
+				this.attempts.cancelOthers(attempt);
 				attempt.onNewToken(now());
 				reportProgress(attempt);
 				if (step == AnswerText.Step.DELIVER) {
@@ -270,10 +266,8 @@
 			diverged();
 			return;
 		}
-		cancelOthers(attempt);
-		this.attempts.remove(attempt.id());
-		attempt.disconnect();
-		this.router.finish(attempt.id(), AttemptOutcome.COMPLETED);
+		this.attempts.cancelOthers(attempt);
+		this.attempts.end(attempt, AttemptOutcome.COMPLETED, false);
 		this.context.metrics().generationEnded("completed");
 		this.sink.end(position(attempt), end.finishReason());
 		done();
@@ -308,15 +302,8 @@
 	private void moveOn(EngineAttempt attempt, AttemptOutcome outcome, boolean ran, String detail) {
 		LOG.info("attempt_failed", "request", this.job.id(), "attempt", attempt.id(), "backend", attempt.backend(),
 				"outcome", outcome, "offset", this.answer.offset(), "reason", detail);
-		this.attempts.remove(attempt.id());
 		this.mayHaveRun |= ran;
-		if (ran) {
-			attempt.cancel();
-		}
-		else {
-			attempt.disconnect();
-		}
-		this.router.finish(attempt.id(), outcome);
+		this.attempts.end(attempt, outcome, ran);
 		if (this.attempts.isEmpty()) {
 			continueElsewhere(attempt);
 		}
@@ -345,44 +332,19 @@
 	}
 
 	private void diverged() {
-		endAttempts(true);
+		this.attempts.endAll(true);
 		fail(ApiError.of(ErrorCode.STREAM_DIVERGED,
 				"The repeated answer differs from the delivered part; send the request without Last-Event-ID.",
 				Execution.RAN), "diverged");
 	}
 
 	private void fail(ApiError error, String outcome) {
-		endAttempts(true);
+		this.attempts.endAll(true);
 		this.context.metrics().generationEnded(outcome);
 		this.sink.fail(error);
 		done();
 	}
 
-	private void cancelOthers(EngineAttempt winner) {
-		if (this.attempts.size() > 1) {
-			for (EngineAttempt other : new ArrayList<>(this.attempts.values())) {
-				if (other != winner) {
-					this.attempts.remove(other.id());
-					other.cancel();
-					this.router.finish(other.id(), AttemptOutcome.CANCELLED);
-				}
-			}
-		}
-	}
-
-	private void endAttempts(boolean isCancelled) {
-		for (EngineAttempt attempt : this.attempts.values()) {
-			if (isCancelled) {
-				attempt.cancel();
-			}
-			else {
-				attempt.disconnect();
-			}
-			this.router.finish(attempt.id(), AttemptOutcome.CANCELLED);
-		}
-		this.attempts.clear();
-	}
-
 	private void setWaiting(boolean waits) {
 		if (waits != this.isWaiting) {
 			this.isWaiting = waits;
@@ -411,14 +373,8 @@
 				this.job.digest());
 	}
 
-	private boolean hasToken() {
-		return this.attempts.values()
-			.stream()
-			.anyMatch((attempt) -> attempt.phase() != EngineAttempt.Phase.FIRST_TOKEN);
-	}
-
 	private boolean isStale(EngineAttempt attempt, Disposable reader) {
-		return this.isDone || this.attempts.get(attempt.id()) != attempt || !attempt.isCurrent(reader);
+		return this.isDone || !this.attempts.contains(attempt) || !attempt.isCurrent(reader);
 	}
 
 	private long now() {
--- a/entry/src/test/java/org/celeryhill/entry/ResumeTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/ResumeTests.java
@@ -46,7 +46,7 @@
 	@Test
 	void sameRequestSentAgainContinuesOnAnotherEngine() {
 		this.first.close();
-		this.world.engines.values().stream().filter((one) -> one.startedStreams() > 0).forEach(FakeEngine::stop);
+		this.world.stopUsedEngines();
 		assertContinued(this.other.stream(TestCaller.body(TOKENS, true), "Last-Event-ID", this.stream.lastId()));
 	}
 
--- a/entry/src/test/java/org/celeryhill/entry/StreamFailureTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/StreamFailureTests.java
@@ -1,6 +1,9 @@
 package org.celeryhill.entry;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.function.UnaryOperator;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -10,6 +13,8 @@
 import org.celeryhill.port.GenerateEvent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -72,7 +77,7 @@
 	void lostEngineIsReplacedByAnother() {
 		TestCaller caller = caller();
 		TestCaller.EventStream stream = caller.stream(TestCaller.body(400, true)).read(10);
-		this.world.engines.values().stream().filter((one) -> one.startedStreams() > 0).forEach((one) -> one.stop());
+		this.world.stopUsedEngines();
 		stream.readAll();
 		assertThat(stream.text()).isEqualTo(TestCaller.expected(400));
 		assertThat(stream.isWhole()).isTrue();
@@ -139,11 +144,18 @@
 	}
 
 	/** Guards against engines that go on for a caller that has left. */
-	@Test
-	void callerThatLeavesCancelsItsStream() {
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void callerThatLeavesCancelsItsStream(boolean isStream) throws IOException {
 		EngineWrapper.install(this.world, UnaryOperator.identity(), UnaryOperator.identity());
-		TestCaller caller = caller();
-		caller.stream(TestCaller.body(4000, true)).read(5).close();
+		EntryDaemon daemon = this.world.daemon("entry-1");
+		String body = TestCaller.body(4000, isStream);
+		try (Socket socket = new Socket("127.0.0.1", daemon.apiUri().getPort())) {
+			String head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + TestWorld.KEY_A
+					+ "\r\nContent-Length: " + body.length() + "\r\n\r\n";
+			socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+			TestWorld.await(() -> this.world.engines.values().stream().anyMatch((one) -> one.startedStreams() > 0));
+		}
 		TestWorld.await(() -> this.world.engineOverrides.values()
 			.stream()
 			.anyMatch((one) -> ((EngineWrapper) one).cancels.get() > 0));
--- a/entry/src/test/java/org/celeryhill/entry/TestWorld.java
+++ b/entry/src/test/java/org/celeryhill/entry/TestWorld.java
@@ -185,6 +185,12 @@
 		return this.engines.get(BackendServerId.of(name));
 	}
 
+	/** Stops the engines that have run a stream; chosen before the first one stops. */
+	void stopUsedEngines() {
+		List<FakeEngine> used = this.engines.values().stream().filter((one) -> one.startedStreams() > 0).toList();
+		used.forEach(FakeEngine::stop);
+	}
+
 	int bookings(String key) {
 		return this.services.values().stream().mapToInt((one) -> one.executions().getOrDefault(key, 0)).sum();
 	}
