--- a/entry/src/main/java/org/celeryhill/entry/BodyReader.java
+++ b/entry/src/main/java/org/celeryhill/entry/BodyReader.java
@@ -2,8 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
@@ -14,18 +16,24 @@
 
 /**
  * Receives the body of a request within a bound of memory and time, without a thread that
- * waits. The limit is checked here, since Undertow closes the connection of a chunked
+ * waits. The limits are checked here, since Undertow closes the connection of a chunked
  * body that exceeds its own limit before an answer can be sent. Immutable and
  * thread-safe.
  */
 final class BodyReader {
 
+	/** Time after which a caller may repeat a request that there was no room for. */
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
 	/** Time between the answer to a slow body and the end of its connection. */
 	private static final Duration LINGER = Duration.ofMillis(500);
 
 	/** Limits. */
 	private final ApiLimits limits;
 
+	/** Bytes of the bodies of all open requests. */
+	private final AtomicLong held = new AtomicLong();
+
 	BodyReader(ApiLimits limits) {
 		this.limits = limits;
 	}
@@ -48,19 +56,23 @@
 			}
 		}, this.limits.bodyTimeout().toMillis(), TimeUnit.MILLISECONDS);
 		ByteArrayOutputStream collected = new ByteArrayOutputStream();
+		exchange.addExchangeCompleteListener((done, proceed) -> {
+			this.held.addAndGet(-collected.size());
+			proceed.proceed();
+		});
 		Receiver receiver = exchange.getRequestReceiver();
 		receiver.receivePartialBytes((inner, part, isLast) -> {
 			if (isDone.get()) {
 				return;
 			}
 			collected.writeBytes(part);
-			boolean isTooLarge = collected.size() > this.limits.maxBodyBytes();
-			if ((isLast || isTooLarge) && !isDone.getAndSet(true)) {
+			Optional<ApiError> error = check(collected.size(), this.held.addAndGet(part.length));
+			if ((isLast || error.isPresent()) && !isDone.getAndSet(true)) {
 				timeout.remove();
-				if (isTooLarge) {
+				if (error.isPresent()) {
 					receiver.pause();
 				}
-				inner.dispatch(SameThreadExecutor.INSTANCE, () -> received(api, collected, isTooLarge, next));
+				inner.dispatch(SameThreadExecutor.INSTANCE, () -> received(api, collected, error, next));
 			}
 		}, (inner, fault) -> {
 			timeout.remove();
@@ -70,13 +82,23 @@
 		});
 	}
 
-	private void received(ApiExchange api, ByteArrayOutputStream body, boolean isTooLarge, Consumer next) {
-		if (isTooLarge) {
-			api.error(tooLarge());
-			closeSoon(api.exchange());
+	private Optional<ApiError> check(int size, long heldInAll) {
+		if (size > this.limits.maxBodyBytes()) {
+			return Optional.of(tooLarge());
+		}
+		return (heldInAll <= this.limits.maxHeldBytes()) ? Optional.empty()
+				: Optional.of(ApiError
+					.notRun(ErrorCode.OVERLOADED, "This daemon holds as many request bodies as it can; retry later.")
+					.withRetryAfter(RETRY_AFTER));
+	}
+
+	private void received(ApiExchange api, ByteArrayOutputStream body, Optional<ApiError> error, Consumer next) {
+		if (error.isEmpty()) {
+			next.accept(body.toByteArray());
 			return;
 		}
-		next.accept(body.toByteArray());
+		api.error(error.get());
+		closeSoon(api.exchange());
 	}
 
 	private ApiError tooLarge() {
--- a/entry/src/main/java/org/celeryhill/entry/EntrySettings.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntrySettings.java
@@ -56,6 +56,10 @@
 	@Option(names = "--max-body-bytes", defaultValue = "1048576", description = "Longest request body.")
 	int maxBodyBytes;
 
+	@Option(names = "--max-held-bytes", defaultValue = "67108864",
+			description = "Most bytes of the bodies of all open requests.")
+	long maxHeldBytes;
+
 	@Option(names = "--max-header-bytes", defaultValue = "16384", description = "Longest request head.")
 	int maxHeaderBytes;
 
@@ -188,6 +192,7 @@
 
 	private void checkSizes(SettingsChecks checks) {
 		checks.requireRange("--max-body-bytes", this.maxBodyBytes, 1024, 64 << 20)
+			.requireRange("--max-held-bytes", this.maxHeldBytes, this.maxBodyBytes, 16L << 30)
 			.requireRange("--max-header-bytes", this.maxHeaderBytes, 2048, 1 << 20)
 			.requireRange("--max-requests", this.maxRequests, 1, 100_000)
 			.requireRange("--max-pending-bytes", this.maxPendingBytes, 16_384, 64 << 20)
@@ -238,8 +243,8 @@
 	}
 
 	ApiLimits apiLimits() {
-		return new ApiLimits(this.maxBodyBytes, this.maxHeaderBytes, this.bodyTimeout, this.idleTimeout,
-				this.maxRequests, this.maxPendingBytes);
+		return new ApiLimits(this.maxBodyBytes, this.maxHeldBytes, this.maxHeaderBytes, this.bodyTimeout,
+				this.idleTimeout, this.maxRequests, this.maxPendingBytes);
 	}
 
 	private static byte[] toBytes(String key) {
--- a/entry/src/test/java/org/celeryhill/entry/InputTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/InputTests.java
@@ -20,7 +20,7 @@
 	private final TestWorld world = new TestWorld(100);
 
 	private final EntryDaemon daemon = this.world.daemon("entry-1", "--body-timeout=PT0.5S", "--max-body-bytes=4096",
-			"--max-header-bytes=4096", "--max-requests=4");
+			"--max-header-bytes=4096", "--max-requests=4", "--max-held-bytes=6000");
 
 	private final TestCaller caller = new TestCaller(this.daemon, TestWorld.KEY_A);
 
@@ -74,6 +74,19 @@
 			.contains("body_too_large");
 	}
 
+	/** Guards against unbounded memory for many bodies that are each within the limit. */
+	@Test
+	void bodiesOfAllRequestsAreBounded() throws IOException {
+		String part = head("Content-Length: 4096") + " ".repeat(4000);
+		try (Socket first = new Socket("127.0.0.1", this.daemon.apiUri().getPort())) {
+			first.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+			TestWorld.await(() -> this.daemon.root().openRequests() == 1);
+			assertThat(raw(part, false)).contains("503").contains("overloaded").contains("Retry-After");
+		}
+		TestWorld.await(() -> this.daemon.root().openRequests() == 0);
+		assertError(this.caller.post("/v1/completions", " ".repeat(4000)), 400, "invalid_json");
+	}
+
 	/** Guards against unbounded memory for a request head. */
 	@Test
 	void oversizedHeadersAreRejected() throws IOException {
--- a/entry/src/test/java/org/celeryhill/entry/StreamTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/StreamTests.java
@@ -1,6 +1,8 @@
 package org.celeryhill.entry;
 
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +35,29 @@
 		assertThat(stream.isWhole()).isTrue();
 	}
 
+	/**
+	 * Guards against losing a request that is sent before the answer to the one before.
+	 */
+	@Test
+	void pipelinedRequestIsServed() throws Exception {
+		String body = TestCaller.body(100, false);
+		byte[] request = ("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + TestWorld.KEY_A
+				+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+			.getBytes(StandardCharsets.US_ASCII);
+		try (Socket socket = new Socket("127.0.0.1", this.daemon.apiUri().getPort())) {
+			socket.setSoTimeout(5000);
+			socket.getOutputStream().write(request);
+			TestWorld.await(() -> this.daemon.relays().size() == 1);
+			socket.getOutputStream().write(request);
+			StringBuilder answers = new StringBuilder();
+			while (answers.toString().split("text_completion", -1).length < 3) {
+				int next = socket.getInputStream().read();
+				assertThat(next).as("connection stays open").isNotNegative();
+				answers.append((char) next);
+			}
+		}
+	}
+
 	/** Guards against a whole answer that differs from the streamed one. */
 	@Test
 	void wholeAnswerIsComplete() {
