Join the other processes over the peer protocol

Cause: usage, membership and revisions spread between daemons, and a replaced host must start while the stores are away. Figures: test of a daemon that starts from its peers passes. Conclusion: the meaning of the ENTRY address is to be confirmed.

--- a/entry/src/main/java/org/celeryhill/entry/BackendTracker.java
+++ b/entry/src/main/java/org/celeryhill/entry/BackendTracker.java
@@ -1,5 +1,6 @@
 package org.celeryhill.entry;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -53,6 +54,9 @@
 	/** When a backend server was first missing from the list, monotonic nanoseconds. */
 	private final Map<BackendServerId, Long> missing = new ConcurrentHashMap<>();
 
+	/** Peer addresses of the entry hosts in the list. */
+	private volatile List<InetSocketAddress> entryAddresses = List.of();
+
 	BackendTracker(Backends backends, TrafficGate gate, TimerService timer) {
 		this.backends = Objects.requireNonNull(backends, "backends");
 		this.gate = Objects.requireNonNull(gate, "gate");
@@ -64,6 +68,10 @@
 	 * @param entries the entries, not null
 	 */
 	synchronized void onHostList(List<HostList.Entry> entries) {
+		this.entryAddresses = entries.stream()
+			.filter((entry) -> entry.kind() == HostList.Kind.ENTRY)
+			.map((entry) -> new InetSocketAddress(entry.address().getHost(), entry.address().getPort()))
+			.toList();
 		Set<BackendServerId> listed = new HashSet<>();
 		for (HostList.Entry entry : entries) {
 			if (entry.kind() == HostList.Kind.ENTRY) {
@@ -85,6 +93,15 @@
 		}
 	}
 
+	/**
+	 * Returns the addresses under which the host list names entry hosts: those of their
+	 * peer protocol.
+	 * @return the addresses, never null
+	 */
+	List<InetSocketAddress> entryAddresses() {
+		return this.entryAddresses;
+	}
+
 	private void onMissing(BackendServerId id) {
 		long now = this.timer.nanoTime();
 		Long since = this.missing.putIfAbsent(id, now);
--- a/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ExecutorService;
@@ -13,8 +14,11 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.HostId;
+import org.celeryhill.base.RevisionDocument;
 import org.celeryhill.config.RevisionParser;
 import org.celeryhill.http.HttpServerKit;
+import org.celeryhill.peer.Member;
+import org.celeryhill.peer.PeerNode;
 import org.celeryhill.state.AttemptIds;
 import org.celeryhill.state.ClaimPolicy;
 import org.celeryhill.state.ClaimStore;
@@ -162,14 +166,14 @@
 	 */
 	void start() {
 		this.gate.start();
-		this.ports.peers().ifPresent(this::join);
+		this.ports.peers().map((factory) -> factory.create(this.tracker::entryAddresses)).ifPresent(this::join);
 		this.admin = new AdminPages(this).start(this.settings.address, this.settings.adminPort, this.registry);
 		this.api = ApiServer.start(this.settings.address, this.settings.apiPort, this.settings.ioThreads,
 				this.settings.apiLimits(), this.root);
 		startControl();
 	}
 
-	private void join(org.celeryhill.peer.PeerNode node) {
+	private void join(PeerNode node) {
 		this.peers = new PeerExchange(node, this.gate, this.revisions, this.ports.timer());
 		this.peers.start();
 		this.tasks.add("usage", this.settings.usagePeriod, this.peers::publish);
@@ -180,8 +184,7 @@
 				this.settings.reportsPerSecond);
 		ConfigurationStore configuration = ConfigurationStore.create(this.writer, this.ports.objects(),
 				this.ports.timer(), (document) -> RevisionParser.parse(document).findings());
-		ConfigurationFollower follower = new ConfigurationFollower(configuration, this.revisions,
-				(document) -> this.ports.peers().ifPresent((node) -> node.offerRevision(document)));
+		ConfigurationFollower follower = new ConfigurationFollower(configuration, this.revisions, this::spread);
 		DemandPublisher publisher = new DemandPublisher(this.ports.table(), HostId.of(this.settings.hostId),
 				this.demand, this.settings.demandPeriod);
 		this.tasks.add("hosts", this.settings.hostListPeriod,
@@ -193,6 +196,20 @@
 		this.tasks.add("demand", this.settings.demandPeriod, publisher::publish);
 	}
 
+	private void spread(RevisionDocument document) {
+		if (this.peers != null) {
+			this.peers.peers().offerRevision(document);
+		}
+	}
+
+	/**
+	 * Returns the processes that are believed to be alive.
+	 * @return the members, empty when alone, never null
+	 */
+	List<Member> members() {
+		return (this.peers != null) ? this.peers.peers().members() : List.of();
+	}
+
 	/**
 	 * Stops the daemon gracefully. Blocks until it has stopped.
 	 * @return whether all requests had ended within the drain timeout
@@ -264,7 +281,7 @@
 	 * @return a tree of maps, lists and scalars, never null
 	 */
 	Map<String, Object> dump() {
-		return new StateReport(this, this.settings, this.ports).toTree();
+		return new StateReport(this, this.settings).toTree();
 	}
 
 }
--- a/entry/src/main/java/org/celeryhill/entry/EntryMain.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryMain.java
@@ -1,6 +1,7 @@
 package org.celeryhill.entry;
 
 import java.io.PrintWriter;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Callable;
@@ -13,6 +14,7 @@
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.HostId;
+import org.celeryhill.base.Region;
 import org.celeryhill.base.SystemTimerService;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.http.ClientSettings;
@@ -22,6 +24,8 @@
 import org.celeryhill.http.HttpTableService;
 import org.celeryhill.http.LogSetup;
 import org.celeryhill.http.SettingsChecks;
+import org.celeryhill.peer.PeerSettings;
+import org.celeryhill.peer.ThriftPeerNode;
 import org.celeryhill.traffic.DefaultTrafficController;
 import org.celeryhill.traffic.TrafficTunables;
 import picocli.CommandLine;
@@ -105,7 +109,23 @@
 		return new Ports(timer, HttpTableService.create(settings.tableUrl, client, limits),
 				HttpObjectService.create(settings.objectUrl, client, limits),
 				HttpHostList.create(settings.hostListUrl, client, limits), new HttpBackendFactory(client, limits),
-				traffic, Optional.empty());
+				traffic, peers(settings, timer));
+	}
+
+	/**
+	 * Returns how the daemon joins the other processes.
+	 * @param settings the settings, checked, not null
+	 * @param timer the time, not null
+	 * @return the factory, empty if the daemon runs alone, never null
+	 */
+	static Optional<PeerFactory> peers(EntrySettings settings, TimerService timer) {
+		if (settings.peerPort == 0) {
+			return Optional.empty();
+		}
+		PeerSettings self = PeerSettings.of(HostId.of(settings.hostId),
+				new InetSocketAddress(settings.address, settings.peerPort), DataCentre.of(settings.dataCentre),
+				Region.of(settings.region), timer.instant().toEpochMilli());
+		return Optional.of((seeds) -> ThriftPeerNode.create(self, timer, seeds));
 	}
 
 }
--- a/entry/src/main/java/org/celeryhill/entry/EntrySettings.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntrySettings.java
@@ -35,7 +35,8 @@
 	@Option(names = "--admin-port", defaultValue = "8081", description = "Port for operators, 0 for any.")
 	int adminPort;
 
-	@Option(names = "--peer-port", defaultValue = "8082", description = "Port of the peer protocol, 0 for any.")
+	@Option(names = "--peer-port", defaultValue = "8082",
+			description = "Port of the peer protocol, as in the host list; 0 to run without peers.")
 	int peerPort;
 
 	@Option(names = "--host-list-url", description = "Address of the platform's host list.")
--- a/entry/src/main/java/org/celeryhill/entry/Ports.java
+++ b/entry/src/main/java/org/celeryhill/entry/Ports.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import org.celeryhill.base.TimerService;
-import org.celeryhill.peer.PeerNode;
 import org.celeryhill.port.HostList;
 import org.celeryhill.port.ObjectService;
 import org.celeryhill.port.TableService;
@@ -19,10 +18,10 @@
  * @param hosts the host list, not null
  * @param backends creates adapters of backend servers, not null
  * @param traffic the traffic controller, used only by this daemon, not null
- * @param peers the other processes, empty to run alone, not null
+ * @param peers creates the node among the other processes, empty to run alone, not null
  */
 record Ports(TimerService timer, TableService table, ObjectService objects, HostList hosts, BackendFactory backends,
-		TrafficController traffic, Optional<PeerNode> peers) {
+		TrafficController traffic, Optional<PeerFactory> peers) {
 
 	Ports {
 		Objects.requireNonNull(timer, "timer");
--- a/entry/src/main/java/org/celeryhill/entry/StateReport.java
+++ b/entry/src/main/java/org/celeryhill/entry/StateReport.java
@@ -1,12 +1,10 @@
 package org.celeryhill.entry;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
 import org.celeryhill.peer.Member;
-import org.celeryhill.peer.PeerNode;
 
 /**
  * Writes the state of a daemon as a tree for operators. Thread-safe.
@@ -19,13 +17,9 @@
 	/** Settings. */
 	private final EntrySettings settings;
 
-	/** Everything outside. */
-	private final Ports ports;
-
-	StateReport(EntryDaemon daemon, EntrySettings settings, Ports ports) {
+	StateReport(EntryDaemon daemon, EntrySettings settings) {
 		this.daemon = Objects.requireNonNull(daemon, "daemon");
 		this.settings = Objects.requireNonNull(settings, "settings");
-		this.ports = Objects.requireNonNull(ports, "ports");
 	}
 
 	Map<String, Object> toTree() {
@@ -40,8 +34,7 @@
 		tree.put("held_claims", this.daemon.claims().heldClaims());
 		tree.put("traffic", this.daemon.gate().locked((inner) -> inner.dump()));
 		tree.put("backends", this.daemon.backends().all().stream().map(this::toTree).toList());
-		tree.put("members",
-				this.ports.peers().map(PeerNode::members).orElse(List.of()).stream().map(this::toTree).toList());
+		tree.put("members", this.daemon.members().stream().map(this::toTree).toList());
 		return tree;
 	}
 
--- a/entry/src/test/java/org/celeryhill/entry/ControlTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/ControlTests.java
@@ -52,6 +52,17 @@
 		assertThat(this.caller.stream(TestCaller.body(20, true)).readAll().isWhole()).isTrue();
 	}
 
+	/** Guards against a replaced host that cannot serve while the stores are away. */
+	@Test
+	void newDaemonStartsFromPeersWhileStoresAreDown() {
+		EntryDaemon second = this.world.daemon("entry-2", this.world.listEntryHost("entry-2"));
+		this.world.faults.setDown(FakeTableService.TARGET, true);
+		EntryDaemon third = this.world.daemon("entry-3", this.world.listEntryHost("entry-3"));
+		assertThat(third.revisions().number()).isEqualTo(1);
+		TestWorld.await(() -> second.members().size() == 2);
+		TestWorld.await(() -> second.dump().toString().contains("peers=1"));
+	}
+
 	/** Guards against new requests to a draining engine while the host list lags. */
 	@Test
 	void plannedStopKeepsRequestsAway() {
--- a/entry/src/test/java/org/celeryhill/entry/LoopbackTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/LoopbackTests.java
@@ -52,10 +52,10 @@
 					+ "\",\"action\":\"LOAD_MODEL\",\"model\":\"" + TestWorld.MODEL + "\",\"bytes\":1000,\"token\":1}");
 		}
 		EntrySettings settings = CommandLine.populateCommand(new EntrySettings(), "--host-id=entry-1",
-				"--data-centre=dc-1", "--region=bc-lower", "--api-port=0", "--admin-port=0", "--balancer-delay=PT0S",
-				"--event-id-key=0123456789abcdef", "--table-url=" + this.addresses.get("table"),
-				"--object-url=" + this.addresses.get("object"), "--host-list-url=" + this.addresses.get("hosts"),
-				"--head-period=PT0.2S", "--report-period=PT0.1S");
+				"--data-centre=dc-1", "--region=bc-lower", "--peer-port=0", "--api-port=0", "--admin-port=0",
+				"--balancer-delay=PT0S", "--event-id-key=0123456789abcdef",
+				"--table-url=" + this.addresses.get("table"), "--object-url=" + this.addresses.get("object"),
+				"--host-list-url=" + this.addresses.get("hosts"), "--head-period=PT0.2S", "--report-period=PT0.1S");
 		assertThat(settings.check().findings()).isEmpty();
 		Ports ports = EntryMain.ports(settings);
 		propose(ports);
--- a/entry/src/test/java/org/celeryhill/entry/TestWorld.java
+++ b/entry/src/test/java/org/celeryhill/entry/TestWorld.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
@@ -133,6 +133,23 @@
 				DataCentre.of("dc-1"), Region.of("bc-lower"), false));
 	}
 
+	/**
+	 * Lists an entry host with a free port for its peer protocol.
+	 * @param host the id of the host
+	 * @return the setting of the port
+	 */
+	String listEntryHost(String host) {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			this.hosts.put(new HostList.Entry(BackendServerId.of(host), HostList.Kind.ENTRY, ServiceId.of("entry"),
+					URI.create("http://127.0.0.1:" + socket.getLocalPort()), DataCentre.of("dc-1"),
+					Region.of("bc-lower"), false));
+			return "--peer-port=" + socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	/**
 	 * Accepts the demonstration configuration with another traffic split.
 	 * @param newSystemPercent the part of requests that the new system serves
@@ -163,9 +180,9 @@
 	 */
 	EntryDaemon daemon(String host, String... flags) {
 		List<String> args = new ArrayList<>(List.of("--host-id=" + host, "--data-centre=dc-1", "--region=bc-lower",
-				"--api-port=0", "--admin-port=0", "--event-id-key=0123456789abcdef0123", "--balancer-delay=PT0S",
-				"--head-period=PT0.1S", "--host-list-period=PT0.1S", "--report-period=PT0.02S", "--stop-period=PT0.1S",
-				"--resume-timeout=PT0.4S", "--stall-timeout=PT1S", "--demand-period=PT0.2S"));
+				"--peer-port=0", "--api-port=0", "--admin-port=0", "--event-id-key=0123456789abcdef0123",
+				"--balancer-delay=PT0S", "--head-period=PT0.1S", "--host-list-period=PT0.1S", "--report-period=PT0.02S",
+				"--stop-period=PT0.1S", "--resume-timeout=PT0.4S", "--stall-timeout=PT1S", "--demand-period=PT0.2S"));
 		for (String flag : flags) {
 			args.removeIf((arg) -> arg.startsWith(flag.substring(0, flag.indexOf('=') + 1)));
 			args.add(flag);
@@ -174,7 +191,7 @@
 		DefaultTrafficController traffic = DefaultTrafficController.create(HostId.of(host), DataCentre.of("dc-1"),
 				"test", 1, TrafficTunables.DEFAULTS);
 		EntryDaemon daemon = new EntryDaemon(settings, new Ports(this.timer, this.table, this.objects, this.hosts,
-				new FakeFactory(), traffic, Optional.empty()));
+				new FakeFactory(), traffic, EntryMain.peers(settings, this.timer)));
 		this.daemons.add(daemon);
 		daemon.start();
 		await(daemon::isReady);
