--- a/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
+++ b/entry/src/main/java/org/celeryhill/entry/StreamRelay.java
@@ -32,6 +32,9 @@
 	/** Time after which a caller may repeat a request whose backend server failed. */
 	private static final Duration RETRY_AFTER_FAILURE = Duration.ofSeconds(1);
 
+	/** Tokens between two reports of progress, which take the lock of the router. */
+	private static final int PROGRESS_TOKENS = 4;
+
 	/** Request. */
 	private final GenerationJob job;
 
@@ -56,6 +59,9 @@
 	/** Whether an attempt may have run that is no longer among the attempts. */
 	private boolean mayHaveRun;
 
+	/** Whether an event of another attempt was logged; further ones are only counted. */
+	private boolean isForeignLogged;
+
 	/** Whether the request waits to be sent. */
 	private boolean isWaiting;
 
@@ -132,8 +138,11 @@
 		}
 		if (!event.attempt().equals(attempt.id())) {
 			this.context.metrics().foreignEvent();
-			LOG.warn("foreign_event_dropped", "request", this.job.id(), "attempt", attempt.id(), "event",
-					event.attempt(), "backend", attempt.backend());
+			if (!this.isForeignLogged) {
+				this.isForeignLogged = true;
+				LOG.warn("foreign_event_dropped", "request", this.job.id(), "attempt", attempt.id(), "event",
+						event.attempt(), "backend", attempt.backend());
+			}
 			return;
 		}
 		if (event instanceof GenerateEvent.Token token) {
@@ -225,7 +234,7 @@
 			case DELIVER, HIDDEN -> {
 				cancelOthers(attempt);
 				attempt.onNewToken(now());
-				this.router.progress(attempt.id(), this.answer.offset() - attempt.firstOffset());
+				reportProgress(attempt);
 				if (step == AnswerText.Step.DELIVER) {
 					deliver(attempt, token.text());
 				}
@@ -236,6 +245,13 @@
 		}
 	}
 
+	private void reportProgress(EngineAttempt attempt) {
+		int tokens = this.answer.offset() - attempt.firstOffset();
+		if (tokens == 1 || tokens % PROGRESS_TOKENS == 0) {
+			this.router.progress(attempt.id(), tokens);
+		}
+	}
+
 	private void deliver(EngineAttempt attempt, String text) {
 		if (this.answer.offset() == 1) {
 			double seconds = (now() - this.job.arrivedNanos()) / 1e9;
