Split the membership table and open the peer port at creation

Change: MemberEntry, MemberSummary and MemberRecords are files of their own; ThriftPeerNode.create opens the port and puts the open one into its record.

--- a/peer/src/main/java/org/celeryhill/peer/GossipState.java
+++ b/peer/src/main/java/org/celeryhill/peer/GossipState.java
@@ -115,7 +115,7 @@
 		}
 		for (MemberRecord target : targets) {
 			Digest digest = digest(target.getHost(), this.members.isNear(target), nowNanos);
-			calls.add(new Outgoing.Exchange(MembershipTable.addressOf(target), digest));
+			calls.add(new Outgoing.Exchange(MemberRecords.addressOf(target), digest));
 		}
 	}
 
@@ -137,7 +137,7 @@
 			return;
 		}
 		Set<InetSocketAddress> known = new HashSet<>();
-		alive.forEach((member) -> known.add(MembershipTable.addressOf(member)));
+		alive.forEach((member) -> known.add(MemberRecords.addressOf(member)));
 		List<InetSocketAddress> unknown = new ArrayList<>(seeds);
 		unknown.removeIf(known::contains);
 		java.util.Collections.shuffle(unknown, this.random);
@@ -204,14 +204,14 @@
 			this.syncNanos = nowNanos;
 			this.differing = 0;
 			SyncRequest request = new SyncRequest(new HashMap<>(this.members.hashes()));
-			calls.add(new Outgoing.Sync(MembershipTable.addressOf(digest.getSender()), request));
+			calls.add(new Outgoing.Sync(MemberRecords.addressOf(digest.getSender()), request));
 		}
 	}
 
 	private void compareRevision(long number, MemberRecord peer, List<Outgoing> calls, long nowNanos) {
 		if (number > this.revisions.number() && nowNanos - this.fetchNanos >= RETRY_NANOS) {
 			this.fetchNanos = nowNanos;
-			calls.add(new Outgoing.Fetch(MembershipTable.addressOf(peer), this.revisions.number()));
+			calls.add(new Outgoing.Fetch(MemberRecords.addressOf(peer), this.revisions.number()));
 		}
 	}
 
@@ -287,7 +287,7 @@
 		targets.addAll(this.members.choose(alive, this::isOtherInRegion, 1));
 		targets.addAll(this.members.choose(alive, (one) -> !this.members.isInRegion(one), 1));
 		for (MemberRecord target : targets) {
-			calls.add(new Outgoing.Announce(MembershipTable.addressOf(target), this.revisions.number(),
+			calls.add(new Outgoing.Announce(MemberRecords.addressOf(target), this.revisions.number(),
 					this.members.self()));
 		}
 	}
@@ -320,8 +320,7 @@
 		List<Outgoing> calls = new ArrayList<>();
 		List<MemberRecord> alive = this.members.alive(nowNanos);
 		for (MemberRecord target : this.members.choose(alive, this.members::isNear, ANNOUNCE_NEAR)) {
-			calls.add(
-					new Outgoing.Exchange(MembershipTable.addressOf(target), digest(target.getHost(), true, nowNanos)));
+			calls.add(new Outgoing.Exchange(MemberRecords.addressOf(target), digest(target.getHost(), true, nowNanos)));
 		}
 		return calls;
 	}
@@ -358,7 +357,7 @@
 	 * @return the members that are believed to be alive, in order of id
 	 */
 	List<Member> alive(long nowNanos) {
-		return this.members.alive(nowNanos).stream().map(MembershipTable::toMember).toList();
+		return this.members.alive(nowNanos).stream().map(MemberRecords::toMember).toList();
 	}
 
 	/**
--- /dev/null
+++ b/peer/src/main/java/org/celeryhill/peer/MemberSummary.java
@@ -0,0 +1,70 @@
+package org.celeryhill.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.celeryhill.peerthrift.MemberRecord;
+
+/**
+ * What is derived from all members that are not dead. Not thread-safe.
+ */
+final class MemberSummary {
+
+	/** Processes of a region up to which all of them count as near. */
+	private static final int NEAR_REGION = 24;
+
+	/** Hash by data centre. */
+	final Map<String, Long> hashes = new HashMap<>();
+
+	/** Members near this process, itself included, in order of id. */
+	final List<MemberEntry> near = new ArrayList<>();
+
+	/** Data centres near this process. */
+	final Set<String> nearDataCentres = new HashSet<>();
+
+	/** Hash over all members. */
+	long hash;
+
+	/** Members. */
+	int count;
+
+	/** Members of this region. */
+	int region;
+
+	MemberSummary(Collection<MemberEntry> members, MemberRecord self) {
+		for (MemberEntry entry : members) {
+			if (!entry.isDead()) {
+				long one = hash(entry.record);
+				this.hashes.merge(entry.record.getDataCentre(), one, Long::sum);
+				this.hash += one;
+				this.count++;
+				this.region += entry.record.getRegion().equals(self.getRegion()) ? 1 : 0;
+			}
+		}
+		this.nearDataCentres.add(self.getDataCentre());
+		for (MemberEntry entry : members) {
+			if (!entry.isDead() && isNear(entry.record, self, this.region)) {
+				this.near.add(entry);
+				this.nearDataCentres.add(entry.record.getDataCentre());
+			}
+		}
+	}
+
+	private static long hash(MemberRecord record) {
+		long hash = 31L * record.getHost().hashCode() + record.getGeneration() * 0x9E3779B97F4A7C15L;
+		return (hash ^ (hash >>> 29)) * 0xBF58476D1CE4E5B9L + record.getStatus().getValue();
+	}
+
+	static boolean isNear(MemberRecord record, MemberRecord self, int region) {
+		if (record.getDataCentre().equals(self.getDataCentre())) {
+			return true;
+		}
+		return region <= NEAR_REGION && record.getRegion().equals(self.getRegion());
+	}
+
+}
--- a/peer/src/main/java/org/celeryhill/peer/MembershipTable.java
+++ b/peer/src/main/java/org/celeryhill/peer/MembershipTable.java
@@ -1,10 +1,8 @@
 package org.celeryhill.peer;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -14,9 +12,6 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
-import org.celeryhill.base.DataCentre;
-import org.celeryhill.base.HostId;
-import org.celeryhill.base.Region;
 import org.celeryhill.peerthrift.Heartbeat;
 import org.celeryhill.peerthrift.MemberRecord;
 import org.celeryhill.peerthrift.MemberStatus;
@@ -29,9 +24,6 @@
  */
 final class MembershipTable {
 
-	/** Processes of a region up to which all of them count as near. */
-	static final int NEAR_REGION = 24;
-
 	/**
 	 * Time after which a silent remote data centre counts as unreachable. Its sums come
 	 * every 12 s, and a single one reaches about seven in ten processes.
@@ -57,7 +49,7 @@
 	private final PeerSettings settings;
 
 	/** Members by id, this process included. */
-	private final TreeMap<String, Entry> members = new TreeMap<>();
+	private final TreeMap<String, MemberEntry> members = new TreeMap<>();
 
 	/** Monotonic time at which something came from a data centre, in nanoseconds. */
 	private final Map<String, Long> dataCentreNanos = new HashMap<>();
@@ -71,11 +63,11 @@
 	/** Monotonic time of the last round, in nanoseconds. */
 	private long lastRoundNanos;
 
-	/** Summary of the members, or null after a change. */
-	private Summary summary;
+	/** MemberSummary of the members, or null after a change. */
+	private MemberSummary summary;
 
 	/** Members whose records are still to be sent. */
-	private final Set<Entry> pending = new LinkedHashSet<>();
+	private final Set<MemberEntry> pending = new LinkedHashSet<>();
 
 	MembershipTable(PeerSettings settings, Random random, long nowNanos) {
 		this.settings = settings;
@@ -84,7 +76,7 @@
 		this.self = new MemberRecord(settings.host().value(), settings.address().getAddress().getHostAddress(),
 				settings.address().getPort(), settings.dataCentre().value(), settings.region().value(),
 				settings.generation(), MemberStatus.ALIVE);
-		this.members.put(this.self.getHost(), new Entry(this.self, "", nowNanos));
+		this.members.put(this.self.getHost(), new MemberEntry(this.self, "", nowNanos));
 	}
 
 	/**
@@ -102,7 +94,7 @@
 	 */
 	void startRound(long count, long nowNanos) {
 		forgiveOwnPause(nowNanos);
-		Entry own = this.members.get(this.self.getHost());
+		MemberEntry own = this.members.get(this.self.getHost());
 		own.beat(count, nowNanos);
 		declareDead(nowNanos);
 		boolean isPurged = this.members.values()
@@ -128,8 +120,8 @@
 	private void declareDead(long nowNanos) {
 		int fresh = 0;
 		int all = 0;
-		List<Entry> silent = new ArrayList<>();
-		for (Entry entry : summary().near) {
+		List<MemberEntry> silent = new ArrayList<>();
+		for (MemberEntry entry : summary().near) {
 			all++;
 			long age = nowNanos - entry.beatNanos;
 			fresh += (age < this.settings.suspectAfter().toNanos()) ? 1 : 0;
@@ -139,7 +131,8 @@
 		}
 		// Of two processes neither is the larger part; a false record is refuted later.
 		if (fresh * 2 > all || all == 2) {
-			silent.forEach((entry) -> merge(withStatus(entry.record, MemberStatus.DEAD), "", true, nowNanos));
+			silent.forEach(
+					(entry) -> merge(MemberRecords.withStatus(entry.record, MemberStatus.DEAD), "", true, nowNanos));
 		}
 	}
 
@@ -158,8 +151,8 @@
 		if (record.getHost().equals(this.self.getHost())) {
 			return refute(record, nowNanos);
 		}
-		Entry old = this.members.get(record.getHost());
-		if (old != null && !isNewer(record, old.record)) {
+		MemberEntry old = this.members.get(record.getHost());
+		if (old != null && !MemberRecords.isNewer(record, old.record)) {
 			return false;
 		}
 		if (old == null && record.getStatus() == MemberStatus.DEAD) {
@@ -169,13 +162,6 @@
 		return true;
 	}
 
-	private static boolean isNewer(MemberRecord record, MemberRecord old) {
-		if (record.getGeneration() != old.getGeneration()) {
-			return record.getGeneration() > old.getGeneration();
-		}
-		return record.getStatus().getValue() > old.getStatus().getValue();
-	}
-
 	private boolean refute(MemberRecord record, long nowNanos) {
 		boolean isFalse = record.getGeneration() > this.self.getGeneration()
 				|| (record.getGeneration() == this.self.getGeneration()
@@ -190,8 +176,8 @@
 	}
 
 	private void put(MemberRecord record, String sender, boolean isSpread, long nowNanos) {
-		Entry entry = new Entry(record, sender, nowNanos);
-		Entry old = this.members.put(record.getHost(), entry);
+		MemberEntry entry = new MemberEntry(record, sender, nowNanos);
+		MemberEntry old = this.members.put(record.getHost(), entry);
 		if (old != null && old.record.getGeneration() == record.getGeneration()) {
 			entry.count = old.count;
 			entry.beatNanos = old.beatNanos;
@@ -204,33 +190,22 @@
 		}
 	}
 
-	private Summary summary() {
+	private MemberSummary summary() {
 		if (this.summary == null) {
-			this.summary = new Summary(this.members.values(), this.self);
+			this.summary = new MemberSummary(this.members.values(), this.self);
 		}
 		return this.summary;
 	}
 
-	private static long hash(MemberRecord record) {
-		long hash = 31L * record.getHost().hashCode() + record.getGeneration() * 0x9E3779B97F4A7C15L;
-		return (hash ^ (hash >>> 29)) * 0xBF58476D1CE4E5B9L + record.getStatus().getValue();
-	}
-
 	/**
 	 * Says that this process stops.
 	 * @param nowNanos the monotonic time in nanoseconds
 	 */
 	void leave(long nowNanos) {
-		this.self = withStatus(this.self, MemberStatus.LEAVING);
+		this.self = MemberRecords.withStatus(this.self, MemberStatus.LEAVING);
 		put(this.self, "", false, nowNanos);
 	}
 
-	private static MemberRecord withStatus(MemberRecord record, MemberStatus status) {
-		MemberRecord copy = new MemberRecord(record);
-		copy.setStatus(status);
-		return copy;
-	}
-
 	/**
 	 * Takes a heartbeat that came from the process itself.
 	 * @param sender the record of the process
@@ -238,7 +213,7 @@
 	 * @param nowNanos the monotonic time in nanoseconds
 	 */
 	void heard(MemberRecord sender, long count, long nowNanos) {
-		Entry entry = this.members.get(sender.getHost());
+		MemberEntry entry = this.members.get(sender.getHost());
 		if (entry != null && entry.record.getGeneration() == sender.getGeneration()) {
 			entry.beat(count, nowNanos);
 		}
@@ -265,7 +240,7 @@
 		}
 		Map<Integer, Long> counts = new HashMap<>();
 		heartbeats.forEach((beat) -> counts.put(beat.getMember(), beat.getCount()));
-		for (Entry entry : summary().near) {
+		for (MemberEntry entry : summary().near) {
 			Long count = counts.get(entry.beatId);
 			if (count != null) {
 				entry.beat(count, nowNanos);
@@ -280,7 +255,7 @@
 	 */
 	List<Heartbeat> heartbeats(long nowNanos) {
 		List<Heartbeat> beats = new ArrayList<>();
-		for (Entry entry : summary().near) {
+		for (MemberEntry entry : summary().near) {
 			if (nowNanos - entry.beatNanos < FRESH_NANOS && entry.record != this.self) {
 				beats.add(new Heartbeat(entry.beatId, entry.count));
 			}
@@ -298,7 +273,7 @@
 	 */
 	List<MemberRecord> changes(String receiver) {
 		List<MemberRecord> changes = new ArrayList<>();
-		for (Entry entry : new ArrayList<>(this.pending)) {
+		for (MemberEntry entry : new ArrayList<>(this.pending)) {
 			if (changes.size() < CHANGES && !entry.source.equals(receiver)) {
 				entry.sendsLeft--;
 				changes.add(entry.record);
@@ -335,7 +310,7 @@
 	 */
 	List<MemberRecord> differing(Map<String, Long> other) {
 		List<MemberRecord> records = new ArrayList<>();
-		for (Entry entry : this.members.values()) {
+		for (MemberEntry entry : this.members.values()) {
 			String dataCentre = entry.record.getDataCentre();
 			if (!Objects.equals(summary().hashes.get(dataCentre), other.get(dataCentre))) {
 				records.add(entry.record);
@@ -350,14 +325,7 @@
 	 * @return true if so
 	 */
 	boolean isNear(MemberRecord record) {
-		return isNear(record, this.self, summary().region);
-	}
-
-	private static boolean isNear(MemberRecord record, MemberRecord self, int region) {
-		if (record.getDataCentre().equals(self.getDataCentre())) {
-			return true;
-		}
-		return region <= NEAR_REGION && record.getRegion().equals(self.getRegion());
+		return MemberSummary.isNear(record, this.self, summary().region);
 	}
 
 	/**
@@ -401,7 +369,7 @@
 	 */
 	List<MemberRecord> alive(long nowNanos) {
 		List<MemberRecord> alive = new ArrayList<>();
-		for (Entry entry : this.members.values()) {
+		for (MemberEntry entry : this.members.values()) {
 			if (entry.record == this.self || isReachable(entry, nowNanos)) {
 				alive.add(entry.record);
 			}
@@ -411,7 +379,7 @@
 
 	private List<MemberRecord> aliveNear(long nowNanos) {
 		List<MemberRecord> alive = new ArrayList<>();
-		for (Entry entry : summary().near) {
+		for (MemberEntry entry : summary().near) {
 			if (entry.record == this.self || isReachable(entry, nowNanos)) {
 				alive.add(entry.record);
 			}
@@ -419,7 +387,7 @@
 		return alive;
 	}
 
-	private boolean isReachable(Entry entry, long nowNanos) {
+	private boolean isReachable(MemberEntry entry, long nowNanos) {
 		if (entry.isDead()) {
 			return false;
 		}
@@ -463,111 +431,4 @@
 		return candidates.subList(0, Math.min(count, candidates.size()));
 	}
 
-	/**
-	 * Returns the member of a record.
-	 * @param record the record
-	 * @return the member of a record
-	 */
-	static Member toMember(MemberRecord record) {
-		return new Member(HostId.of(record.getHost()), addressOf(record), DataCentre.of(record.getDataCentre()),
-				Region.of(record.getRegion()), Long.toString(record.getGeneration()),
-				record.getStatus() != MemberStatus.ALIVE);
-	}
-
-	/**
-	 * Returns where a member listens.
-	 * @param record the record
-	 * @return where a member listens
-	 */
-	static InetSocketAddress addressOf(MemberRecord record) {
-		return new InetSocketAddress(record.getAddress(), record.getPort());
-	}
-
-	/** What is derived from all members that are not dead. */
-	private static final class Summary {
-
-		/** Hash by data centre. */
-		private final Map<String, Long> hashes = new HashMap<>();
-
-		/** Members near this process, itself included, in order of id. */
-		private final List<Entry> near = new ArrayList<>();
-
-		/** Data centres near this process. */
-		private final Set<String> nearDataCentres = new HashSet<>();
-
-		/** Hash over all members. */
-		private long hash;
-
-		/** Members. */
-		private int count;
-
-		/** Members of this region. */
-		private int region;
-
-		Summary(Collection<Entry> members, MemberRecord self) {
-			for (Entry entry : members) {
-				if (!entry.isDead()) {
-					long one = MembershipTable.hash(entry.record);
-					this.hashes.merge(entry.record.getDataCentre(), one, Long::sum);
-					this.hash += one;
-					this.count++;
-					this.region += entry.record.getRegion().equals(self.getRegion()) ? 1 : 0;
-				}
-			}
-			this.nearDataCentres.add(self.getDataCentre());
-			for (Entry entry : members) {
-				if (!entry.isDead() && isNear(entry.record, self, this.region)) {
-					this.near.add(entry);
-					this.nearDataCentres.add(entry.record.getDataCentre());
-				}
-			}
-		}
-
-	}
-
-	/** One member. */
-	private static final class Entry {
-
-		/** Record as it is spread. */
-		private final MemberRecord record;
-
-		/** Process that the record came from. */
-		private final String source;
-
-		/** Key of the member's heartbeats; differs between generations. */
-		private final int beatId;
-
-		/** Monotonic time at which the record was taken, in nanoseconds. */
-		private final long changedNanos;
-
-		/** Highest heartbeat. */
-		private long count;
-
-		/** Monotonic time at which the heartbeat grew last, in nanoseconds. */
-		private long beatNanos;
-
-		/** Times that the record is still to be sent. */
-		private int sendsLeft;
-
-		Entry(MemberRecord record, String source, long nowNanos) {
-			this.record = record;
-			this.source = source;
-			this.beatId = Objects.hash(record.getHost(), record.getGeneration());
-			this.changedNanos = nowNanos;
-			this.beatNanos = nowNanos;
-		}
-
-		private void beat(long newCount, long nowNanos) {
-			if (newCount > this.count) {
-				this.count = newCount;
-				this.beatNanos = nowNanos;
-			}
-		}
-
-		private boolean isDead() {
-			return this.record.getStatus() == MemberStatus.DEAD;
-		}
-
-	}
-
 }
--- a/peer/src/main/java/org/celeryhill/peer/PeerSettings.java
+++ b/peer/src/main/java/org/celeryhill/peer/PeerSettings.java
@@ -71,4 +71,14 @@
 				DEFAULT_DEAD);
 	}
 
+	/**
+	 * Returns a copy with another port.
+	 * @param port the port, 0 to 65535
+	 * @return the copy, never null
+	 */
+	public PeerSettings withPort(int port) {
+		return new PeerSettings(this.host, new InetSocketAddress(this.address.getAddress(), port), this.dataCentre,
+				this.region, this.generation, this.round, this.suspectAfter, this.deadAfter);
+	}
+
 }
--- a/peer/src/main/java/org/celeryhill/peer/ThriftPeerNode.java
+++ b/peer/src/main/java/org/celeryhill/peer/ThriftPeerNode.java
@@ -54,14 +54,16 @@
 	/** Revisions as they become known. Guarded by itself. */
 	private final BehaviorProcessor<RevisionDocument> revisions = BehaviorProcessor.create();
 
-	/** Transport; null before the start. */
-	private volatile ThriftTransport transport;
+	/** Transport. */
+	private final ThriftTransport transport;
 
 	/** Rounds; null before the start. */
 	private volatile Disposable ticks;
 
-	private ThriftPeerNode(PeerSettings settings, TimerService timer, Supplier<List<InetSocketAddress>> seeds) {
+	private ThriftPeerNode(PeerSettings settings, TimerService timer, Supplier<List<InetSocketAddress>> seeds,
+			ThriftTransport transport) {
 		this.settings = settings;
+		this.transport = transport;
 		this.timer = timer;
 		this.seeds = seeds;
 		Random random = new Random(settings.host().value().hashCode() ^ settings.generation());
@@ -69,28 +71,26 @@
 	}
 
 	/**
-	 * Returns a node that is not started.
-	 * @param settings identity and times, not null
+	 * Returns a node that is not started, and opens its port.
+	 * @param settings identity and times; port 0 stands for any free port, not null
 	 * @param timer the source of rounds, not null
 	 * @param seeds returns addresses of other processes, own or dead ones may be among
 	 * them; called on each round and must not block, not null
-	 * @return the node, never null
+	 * @return the node, never null; to be closed also if it is not started
+	 * @throws IllegalStateException if the port cannot be opened
 	 */
 	public static ThriftPeerNode create(PeerSettings settings, TimerService timer,
 			Supplier<List<InetSocketAddress>> seeds) {
 		Objects.requireNonNull(settings, "settings");
 		Objects.requireNonNull(timer, "timer");
 		Objects.requireNonNull(seeds, "seeds");
-		return new ThriftPeerNode(settings, timer, seeds);
+		ThriftTransport transport = new ThriftTransport(settings.address());
+		return new ThriftPeerNode(settings.withPort(transport.port()), timer, seeds, transport);
 	}
 
-	/**
-	 * Starts to listen and to exchange digests.
-	 * @throws IllegalStateException if the port cannot be opened
-	 */
 	@Override
 	public void start() {
-		this.transport = new ThriftTransport(this.settings.address(), new Handler());
+		this.transport.serve(new Handler());
 		this.ticks = this.timer.ticks(this.settings.round()).startWithItem(0L).subscribe((now) -> tick());
 		LOG.info("peer_started", "host", this.settings.host(), "address", this.settings.address());
 	}
@@ -106,12 +106,8 @@
 	}
 
 	private void make(List<Outgoing> calls) {
-		ThriftTransport open = this.transport;
-		if (open == null) {
-			return;
-		}
 		for (Outgoing call : calls) {
-			open.submit(call.target(), (client) -> make(call, client));
+			this.transport.submit(call.target(), (client) -> make(call, client));
 		}
 	}
 
@@ -214,10 +210,18 @@
 
 	/**
 	 * Returns the counters of the transport.
-	 * @return the counters, or empty before the start
+	 * @return the counters, never null
 	 */
-	public Optional<ByteCounters> counters() {
-		return Optional.ofNullable(this.transport).map(ThriftTransport::counters);
+	public ByteCounters counters() {
+		return this.transport.counters();
+	}
+
+	/**
+	 * Returns where this node listens.
+	 * @return the address with the port that is open, never null
+	 */
+	public InetSocketAddress address() {
+		return this.settings.address();
 	}
 
 	/**
@@ -233,8 +237,11 @@
 	@Override
 	public void close() {
 		Disposable rounds = this.ticks;
-		ThriftTransport open = this.transport;
-		if (rounds == null || open == null || rounds.isDisposed()) {
+		if (rounds == null) {
+			this.transport.close();
+			return;
+		}
+		if (rounds.isDisposed()) {
 			return;
 		}
 		rounds.dispose();
@@ -243,7 +250,7 @@
 			calls = this.state.leave(this.timer.nanoTime());
 		}
 		make(calls);
-		open.close();
+		this.transport.close();
 		LOG.info("peer_stopped", "host", this.settings.host());
 	}
 
--- a/peer/src/main/java/org/celeryhill/peer/ThriftTransport.java
+++ b/peer/src/main/java/org/celeryhill/peer/ThriftTransport.java
@@ -53,8 +53,11 @@
 	/** Counters. */
 	private final ByteCounters counters = new ByteCounters();
 
-	/** Server. */
-	private final THsHaServer server;
+	/** Port. */
+	private final TNonblockingServerSocket socket;
+
+	/** Server; null before it serves. */
+	private THsHaServer server;
 
 	/** Threads that serve calls. */
 	private final ExecutorService workers = pool("peer-server");
@@ -62,33 +65,43 @@
 	/** Threads that make calls. */
 	private final ThreadPoolExecutor callers = pool("peer-client");
 
-	/** Thread of the server's selector. */
-	private final Thread acceptor;
-
 	/**
 	 * Opens the port.
-	 * @param address where to listen
-	 * @param handler what serves calls
+	 * @param address where to listen, port 0 for any
 	 * @throws IllegalStateException if the port cannot be opened
 	 */
-	ThriftTransport(InetSocketAddress address, PeerService.Iface handler) {
+	ThriftTransport(InetSocketAddress address) {
 		try {
-			TNonblockingServerSocket socket = new TNonblockingServerSocket(address, READ_MILLIS);
-			THsHaServer.Args args = new THsHaServer.Args(socket);
-			args.maxReadBufferBytes = MAX_BUFFERED_BYTES;
-			args.processor(new PeerService.Processor<>(handler));
-			args.protocolFactory(new TCompactProtocol.Factory());
-			args.transportFactory(new Factory());
-			args.executorService(this.workers);
-			this.server = new THsHaServer(args);
+			this.socket = new TNonblockingServerSocket(address, READ_MILLIS);
 		}
 		catch (TTransportException ex) {
-			close();
 			throw new IllegalStateException("cannot listen on " + address + " for peers: " + ex.getMessage(), ex);
 		}
-		this.acceptor = new Thread(this.server::serve, "peer-acceptor");
-		this.acceptor.setDaemon(true);
-		this.acceptor.start();
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port that is open
+	 */
+	int port() {
+		return this.socket.getPort();
+	}
+
+	/**
+	 * Starts to serve calls.
+	 * @param handler what serves calls
+	 */
+	synchronized void serve(PeerService.Iface handler) {
+		THsHaServer.Args args = new THsHaServer.Args(this.socket);
+		args.maxReadBufferBytes = MAX_BUFFERED_BYTES;
+		args.processor(new PeerService.Processor<>(handler));
+		args.protocolFactory(new TCompactProtocol.Factory());
+		args.transportFactory(new Factory());
+		args.executorService(this.workers);
+		this.server = new THsHaServer(args);
+		Thread acceptor = new Thread(this.server::serve, "peer-acceptor");
+		acceptor.setDaemon(true);
+		acceptor.start();
 	}
 
 	private static ThreadPoolExecutor pool(String name) {
@@ -119,8 +132,8 @@
 
 	private void make(InetSocketAddress target, Call call) {
 		String host = target.getAddress().getHostAddress();
-		try (TSocket socket = new TSocket(this.limits, host, target.getPort(), READ_MILLIS, CONNECT_MILLIS);
-				TTransport framed = new TFramedTransport(new CountingTransport(socket, this.counters), MAX_BYTES)) {
+		try (TSocket connection = new TSocket(this.limits, host, target.getPort(), READ_MILLIS, CONNECT_MILLIS);
+				TTransport framed = new TFramedTransport(new CountingTransport(connection, this.counters), MAX_BYTES)) {
 			framed.open();
 			call.run(new PeerService.Client(new TCompactProtocol(framed)));
 		}
@@ -149,10 +162,15 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		stopServer();
+		this.socket.close();
+		this.workers.shutdownNow();
+	}
+
+	private synchronized void stopServer() {
 		if (this.server != null) {
 			this.server.stop();
 		}
-		this.workers.shutdownNow();
 	}
 
 	/** A call to a peer. */
--- a/peer/src/test/java/org/celeryhill/peer/ThriftPeerNodeTests.java
+++ b/peer/src/test/java/org/celeryhill/peer/ThriftPeerNodeTests.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -42,7 +41,7 @@
 
 	// Guards against a transport that does not carry members, revisions or usage.
 	@Test
-	void carriesMembersRevisionsAndUsage() throws IOException {
+	void carriesMembersRevisionsAndUsage() {
 		ThriftPeerNode one = start();
 		ThriftPeerNode two = start();
 		ThriftPeerNode three = start();
@@ -57,14 +56,14 @@
 		assertThat(three.revisions().blockingFirst().files()).containsEntry("a.yaml", "text");
 		three.close();
 		await(() -> one.members().stream().anyMatch(Member::isLeaving));
-		assertThat(one.counters().orElseThrow().sentBytes()).isPositive();
-		assertThat(one.counters().orElseThrow().receivedBytes()).isPositive();
+		assertThat(one.counters().sentBytes()).isPositive();
+		assertThat(one.counters().receivedBytes()).isPositive();
 	}
 
 	// Guards against a process that cannot start from a peer, and measures how long it
 	// takes.
 	@Test
-	void startsFromPeer() throws IOException {
+	void startsFromPeer() {
 		ThriftPeerNode one = start();
 		one.offerRevision(GossipSimulation.revision(7));
 		long begin = System.nanoTime();
@@ -91,26 +90,20 @@
 		}
 	}
 
-	private ThriftPeerNode start() throws IOException {
+	private ThriftPeerNode start() {
 		int index = this.nodes.size();
-		InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-		this.addresses.add(address);
-		PeerSettings settings = new PeerSettings(HostId.of("entry-" + index), address, DataCentre.of("dc-" + index),
+		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+		PeerSettings settings = new PeerSettings(HostId.of("entry-" + index), any, DataCentre.of("dc-" + index),
 				Region.of("region-0"), 1 + index, Duration.ofMillis(100), Duration.ofSeconds(5),
 				Duration.ofSeconds(10));
 		List<InetSocketAddress> seeds = List.copyOf(this.addresses);
 		ThriftPeerNode node = ThriftPeerNode.create(settings, SystemTimerService.create(), () -> seeds);
 		this.nodes.add(node);
+		this.addresses.add(node.address());
 		node.start();
 		return node;
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 	private static void await(BooleanSupplier condition) {
 		long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
 		while (!condition.getAsBoolean() && System.nanoTime() < end) {
