Keep the room above the limit for urgent requests within the weight

Change: the room above the limit is only for urgent requests within their organisation's weight; those beyond it and classes below their share fill the limit itself.

--- a/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
@@ -8,7 +8,6 @@
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.ModelId;
-import org.celeryhill.base.PriorityClass;
 import org.celeryhill.port.EngineReport;
 
 /**
@@ -21,13 +20,6 @@
 	/** Part of the KV cache that is never planned for, against wrong estimates. */
 	private static final double HARD_PART = 0.95;
 
-	/**
-	 * Part of the limit that each class may fill while urgent requests are common. Urgent
-	 * ones may exceed it: the limits are divided among the daemons, so an urgent request
-	 * would otherwise wait for one of the few attempts of its own daemon to end.
-	 */
-	private static final double[] CLASS_PART = { 1.25, 0.9, 0.8 };
-
 	/** Part of the limit at the begin of a slow start. */
 	private static final double SLOW_START_PART = 0.2;
 
@@ -265,14 +257,14 @@
 	/**
 	 * Returns whether an attempt fits.
 	 * @param units the units it takes
-	 * @param priority the class
+	 * @param room the part of the limit that may be filled
 	 * @param share the part of the limit that this daemon is entitled to
 	 * @param urgency how common urgent requests are, from 0 to 1
 	 * @param now the time in nanoseconds
 	 * @return true if it may be sent
 	 */
-	boolean hasRoom(long units, PriorityClass priority, double share, double urgency, long now) {
-		double part = (1 + (CLASS_PART[priority.ordinal()] - 1) * urgency) * slowStartPart(now);
+	boolean hasRoom(long units, Room room, double share, double urgency, long now) {
+		double part = room.part(urgency) * slowStartPart(now);
 		double max = maximum() * part;
 		long total = this.othersUnits + this.ownUnits;
 		if (this.ownCount > 0 && total + units > hardMaximum()) {
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -15,7 +15,6 @@
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.HostId;
 import org.celeryhill.base.OrganisationId;
-import org.celeryhill.base.PriorityClass;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.base.UsageTotals;
@@ -264,13 +263,13 @@
 	}
 
 	private void sendFirst(ServicePool pool, FlowQueue flow, long now, List<TrafficAction> actions) {
-		PriorityClass roomOf = pool.queue.isOwed() ? PriorityClass.URGENT : flow.priority();
+		Room room = pool.queue.room();
 		BackendState backend = null;
-		if (!flow.route.isBlocked(roomOf)) {
-			backend = this.router.choose(pool, flow.peek(), roomOf, this.share, false, now);
+		if (!flow.route.isBlocked(room)) {
+			backend = this.router.choose(pool, flow.peek(), room, this.share, false, now);
 		}
 		if (backend == null) {
-			flow.block(roomOf);
+			flow.block(room);
 			return;
 		}
 		actions.add(send(pool, flow.take(), backend, false, now));
@@ -314,7 +313,7 @@
 			ServicePool pool = this.pools.get(pending.request.service());
 			if (pool.queue.isEmpty() && pending.running == 1) {
 				pending.avoid(attempt.backend.id);
-				BackendState backend = this.router.choose(pool, pending, PriorityClass.URGENT, this.share, true, now);
+				BackendState backend = this.router.choose(pool, pending, Room.FULL, this.share, true, now);
 				if (backend != null && this.hedges.take()) {
 					pending.isHedged = true;
 					actions.add(send(pool, pending, backend, true, now));
--- a/traffic/src/main/java/org/celeryhill/traffic/FairQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FairQueue.java
@@ -29,8 +29,8 @@
 	/** Organisations in order of first appearance. */
 	private final List<OrganisationQueue> organisations = new ArrayList<>();
 
-	/** Whether the queue returned last went before waiting urgent requests. */
-	private boolean isOwed;
+	/** Room that the queue returned last may fill. */
+	private Room room = Room.BATCH;
 
 	/** Whether the queue returned last is urgent and within its organisation's weight. */
 	private boolean isFirst;
@@ -103,18 +103,23 @@
 		}
 		boolean isWithinWeight = urgent != null && urgent.urgentTag <= this.virtualTime;
 		ClassQueue chosen = isWithinWeight ? urgent.urgent(now) : best.next(now);
-		this.isOwed = urgent != null && chosen.priority != PriorityClass.URGENT;
+		this.room = Room.of(chosen.priority);
+		if (isWithinWeight) {
+			this.room = Room.FIRST;
+		}
+		else if (urgent != null) {
+			this.room = Room.FULL;
+		}
 		this.isFirst = isWithinWeight;
 		return chosen.first(now);
 	}
 
 	/**
-	 * Returns whether the queue returned last goes before waiting urgent requests because
-	 * its class or organisation is below its share.
-	 * @return true if it may take the room kept for urgent requests
+	 * Returns the room that the queue returned last may fill.
+	 * @return the room
 	 */
-	boolean isOwed() {
-		return this.isOwed;
+	Room room() {
+		return this.room;
 	}
 
 	/**
--- a/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
@@ -131,11 +131,11 @@
 
 	/**
 	 * Stops offering requests until there may be room again.
-	 * @param priority the class whose room is used up
+	 * @param room the room that is used up
 	 */
-	void block(PriorityClass priority) {
+	void block(Room room) {
 		this.isBlocked = true;
-		this.route.block(this, priority);
+		this.route.block(this, room);
 		refresh();
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/ModelRoute.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ModelRoute.java
@@ -4,14 +4,13 @@
 import java.util.List;
 
 import org.celeryhill.base.ModelId;
-import org.celeryhill.base.PriorityClass;
 
 /**
  * Candidates of one model, or of all calls of a plain service. Not thread-safe.
  */
 final class ModelRoute {
 
-	/** Marks that no class is blocked. */
+	/** Marks that no room is used up. */
 	private static final int NONE = Integer.MAX_VALUE;
 
 	/** Model or adapter, null for a plain service. */
@@ -35,7 +34,7 @@
 	/** Queues that wait for room. */
 	private final List<FlowQueue> waiting = new ArrayList<>();
 
-	/** Class from which on no room is left. */
+	/** Room from which on none is left. */
 	private int blockedFrom = NONE;
 
 	/**
@@ -52,22 +51,21 @@
 	}
 
 	/**
-	 * Returns whether requests of a class are known to find no room.
-	 * @param priority the class
+	 * Returns whether a room is known to be used up.
+	 * @param room the room
 	 * @return true until the next change of capacity
 	 */
-	boolean isBlocked(PriorityClass priority) {
-		return priority.ordinal() >= this.blockedFrom
-				|| (this.base != null && priority.ordinal() >= this.base.blockedFrom);
+	boolean isBlocked(Room room) {
+		return room.ordinal() >= this.blockedFrom || (this.base != null && room.ordinal() >= this.base.blockedFrom);
 	}
 
 	/**
 	 * Takes note that a queue found no room.
 	 * @param flow the queue
-	 * @param priority the class whose room is used up
+	 * @param room the room that is used up
 	 */
-	void block(FlowQueue flow, PriorityClass priority) {
-		this.blockedFrom = Math.min(this.blockedFrom, priority.ordinal());
+	void block(FlowQueue flow, Room room) {
+		this.blockedFrom = Math.min(this.blockedFrom, room.ordinal());
 		this.waiting.add(flow);
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/Router.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/Router.java
@@ -3,7 +3,6 @@
 import java.util.SplittableRandom;
 
 import org.celeryhill.base.DataCentre;
-import org.celeryhill.base.PriorityClass;
 
 /**
  * Chooses the backend server for one attempt. Two candidates drawn at random, and the
@@ -49,8 +48,8 @@
 	/** Part of each limit that the daemon is entitled to. */
 	private double share;
 
-	/** Class whose room may be used. */
-	private PriorityClass roomClass;
+	/** Part of each limit that may be filled. */
+	private Room room;
 
 	/** How common urgent requests are, from 0 to 1. */
 	private double urgency;
@@ -76,18 +75,17 @@
 	 * Chooses a backend server with room.
 	 * @param pool the service
 	 * @param request the request
-	 * @param roomOf the class whose room may be used
+	 * @param room the part of each limit that may be filled
 	 * @param part the part of the limits that this daemon is entitled to
 	 * @param hedge whether another attempt runs already
 	 * @param now the time in nanoseconds
 	 * @return the backend server, null if none has room
 	 */
-	BackendState choose(ServicePool pool, PendingRequest request, PriorityClass roomOf, double part, boolean hedge,
-			long now) {
+	BackendState choose(ServicePool pool, PendingRequest request, Room room, double part, boolean hedge, long now) {
 		this.pending = request;
 		this.share = part;
 		this.isHedge = hedge;
-		this.roomClass = roomOf;
+		this.room = room;
 		this.urgency = pool.urgency(now);
 		this.best = null;
 		this.bestSeconds = Double.MAX_VALUE;
@@ -146,7 +144,7 @@
 			return;
 		}
 		int units = units(one);
-		if (!one.hasRoom(units, this.roomClass, part, this.urgency, now)) {
+		if (!one.hasRoom(units, this.room, part, this.urgency, now)) {
 			return;
 		}
 		int prefill = Math.max(1, this.pending.request.promptTokens() - this.prefixes.cachedTokens(one));
