Count a request as late when its first token would come too late

Cause: under overload requests were sent just before their target passed and got their first token after it (median 382 ms against 390 ms).

Change: twice the learned mean time from sending to the first token is left for it.

--- a/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
@@ -14,6 +14,9 @@
  */
 final class ClassQueue {
 
+	/** Weight of a new first token in the mean time to it. */
+	private static final double LEARNING_RATE = 0.02;
+
 	/** Class. */
 	final PriorityClass priority;
 
@@ -35,6 +38,9 @@
 	/** Learned part of the maximum answer length that is generated. */
 	double outputPart = 0.5;
 
+	/** Mean time from sending to the first token, in nanoseconds. */
+	private double meanStart;
+
 	/** Targets, replaced with each configuration. */
 	ClassTarget target;
 
@@ -174,6 +180,22 @@
 		}
 	}
 
+	/**
+	 * Learns from a first token.
+	 * @param nanos the time since the attempt was sent, in nanoseconds
+	 */
+	void started(long nanos) {
+		this.meanStart += LEARNING_RATE * (nanos - this.meanStart);
+	}
+
+	/**
+	 * Returns the time to allow from sending to the first token.
+	 * @return twice the mean, at most three quarters of the target, in nanoseconds
+	 */
+	double startNanos() {
+		return Math.min(2 * this.meanStart, 0.75 * this.target.firstToken().toNanos());
+	}
+
 	/**
 	 * Returns the number of waiting requests.
 	 * @return the number
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -333,6 +333,9 @@
 		if (attempt.tokens > 0) {
 			observeSpeed(attempt, tokens, now);
 		}
+		else {
+			attempt.pending.flow.parent.started(now - attempt.sent);
+		}
 		attempt.pending.isAnswering = true;
 		attempt.tokens = tokens;
 		attempt.updated = now;
--- a/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
@@ -89,13 +89,14 @@
 	}
 
 	/**
-	 * Returns whether the target for the first token has passed. A retry is never late,
-	 * its first token may have been delivered already.
+	 * Returns whether the target for the first token can no longer be met. A retry is
+	 * never late, its first token may have been delivered already.
 	 * @param now the time in nanoseconds
-	 * @return true if it can no longer be met
+	 * @return true if it would probably miss the target even if it were sent now
 	 */
 	boolean isLate(long now) {
-		return !this.isSent && now - this.request.arrivedNanos() > this.target.firstToken().toNanos();
+		double left = this.target.firstToken().toNanos() - this.flow.parent.startNanos();
+		return !this.isSent && now - this.request.arrivedNanos() > left;
 	}
 
 	/**
