Name dump fields alike in both daemons

Cause: the configuration test looked for a field that only the planner's dump had, under another name than the entry daemon's.

--- a/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
+++ b/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
@@ -214,7 +214,7 @@
 		Map<String, Object> dump = new LinkedHashMap<>();
 		dump.put("service", this.service.value());
 		dump.put("holder", isHolder());
-		dump.put("fencingToken", this.lease.map((held) -> held.token().value()).orElse(0L));
+		dump.put("fencing_token", this.lease.map((held) -> held.token().value()).orElse(0L));
 		dump.put("rounds", this.rounds);
 		dump.put("steps", this.plan.steps().stream().map(Object::toString).toList());
 		dump.put("findings", this.plan.findings().stream().map(Object::toString).toList());
--- a/planner/src/main/java/org/celeryhill/planner/PlannerDaemon.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerDaemon.java
@@ -226,9 +226,9 @@
 	Map<String, Object> dump() {
 		Map<String, Object> dump = new LinkedHashMap<>();
 		dump.put("host", this.settings.hostId);
-		dump.put("appliedRevision", this.context.revisions().revision().number());
+		dump.put("revision", this.context.revisions().revision().number());
 		dump.put("groups", this.groups.values().stream().map(GroupPlanner::dump).toList());
-		dump.put("plannedStops", this.context.stops().dump());
+		dump.put("planned_stops", this.context.stops().dump());
 		dump.put("demand", this.context.demand()
 			.demand()
 			.entrySet()
