Write the settings page and name planner logs after their host

Cause: planners run on the entry hosts and share their ids; the settings page did not exist.

Change: test fleet starts planners under the host id of an entry daemon; docs/operations/settings.md is generated.

--- a/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
@@ -134,8 +134,8 @@
 
 	void startPlanner(int number) {
 		Daemon daemon = this.planners.get(number);
-		daemon.process = ManagedProcess.start(daemon.name, this.directory, "org.celeryhill.planner.PlannerMain",
-				daemonFlags(daemon));
+		daemon.process = ManagedProcess.start("planner-of-" + daemon.name, this.directory,
+				"org.celeryhill.planner.PlannerMain", daemonFlags(daemon));
 	}
 
 	ManagedProcess entry(int number) {
--- a/system-test/src/test/java/org/celeryhill/systemtest/SettingsReferenceTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/SettingsReferenceTests.java
@@ -17,28 +17,28 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Compares the settings page with the flags of the binaries. Run with
- * {@code -Dceleryhill.settings.write=true} to write the page.
+ * Compares the settings page with the flags of the binaries. Run with the environment
+ * variable {@code WRITE_SETTINGS_PAGE=true} to write the page.
  */
 class SettingsReferenceTests {
 
 	private static final Path PAGE = Path.of("..", "docs", "operations", "settings.md");
 
-	private static final String WRITE = "celeryhill.settings.write";
+	private static final String WRITE = "WRITE_SETTINGS_PAGE";
 
 	private static String page() {
-		StringBuilder page = new StringBuilder("""
-				# Settings
+		StringBuilder page = new StringBuilder(
+				"""
+						# Settings
 
-				This page is generated from the code; the build fails if it is out of date. Each flag can be given as the
-				environment variable next to it; a flag on the command line goes first. All settings of a process are checked
-				when it starts, and all findings are printed together with exit status 2.
-				""");
+						This page is generated from the code; the build fails if it is out of date. Each flag can be given as the
+						environment variable next to it; a flag on the command line goes first. All settings of a process are checked
+						when it starts, and all findings are printed together with exit status 2.
+						""");
 		append(page, "celeryhill-entry", new CommandLine(new EntryMain()));
 		append(page, "celeryhill-planner", new CommandLine(new PlannerMain()));
 		CommandLine operator = CeleryhillMain.create();
-		operator.getSubcommands()
-			.forEach((name, command) -> append(page, "celeryhill " + name, command));
+		operator.getSubcommands().forEach((name, command) -> append(page, "celeryhill " + name, command));
 		append(page, "celeryhill-standin", new CommandLine(new StandinMain()));
 		return page.toString();
 	}
@@ -74,7 +74,7 @@
 	/** Guards against a settings page that does not match the binaries. */
 	@Test
 	void pageMatchesTheFlags() throws IOException {
-		if (Boolean.getBoolean(WRITE)) {
+		if (Boolean.parseBoolean(System.getenv(WRITE))) {
 			Files.writeString(PAGE, page());
 		}
 		assertThat(Files.readString(PAGE)).isEqualTo(page());
