--- a/system-test/src/test/java/org/celeryhill/systemtest/SettingsReferenceTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/SettingsReferenceTests.java
@@ -17,14 +17,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Compares the settings page with the flags of the binaries. Run with
- * {@code -Dceleryhill.settings.write=true} to write the page.
+ * Compares the settings page with the flags of the binaries. Run with the environment
+ * variable {@code WRITE_SETTINGS_PAGE=true} to write the page.
  */
 class SettingsReferenceTests {
 
 	private static final Path PAGE = Path.of("..", "docs", "operations", "settings.md");
 
-	private static final String WRITE = "celeryhill.settings.write";
+	private static final String WRITE = "WRITE_SETTINGS_PAGE";
 
 	private static String page() {
 		StringBuilder page = new StringBuilder(
@@ -74,7 +74,7 @@
 	/** Guards against a settings page that does not match the binaries. */
 	@Test
 	void pageMatchesTheFlags() throws IOException {
-		if (Boolean.getBoolean(WRITE)) {
+		if (Boolean.parseBoolean(System.getenv(WRITE))) {
 			Files.writeString(PAGE, page());
 		}
 		assertThat(Files.readString(PAGE)).isEqualTo(page());
