--- a/planner/src/main/java/org/celeryhill/planner/CommandSender.java
+++ b/planner/src/main/java/org/celeryhill/planner/CommandSender.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.celeryhill.base.AttemptId;
@@ -11,6 +12,7 @@
 import org.celeryhill.placement.PlacementPlan;
 import org.celeryhill.port.Engine;
 import org.celeryhill.port.EngineCommand;
+import org.celeryhill.port.EngineReport;
 import org.celeryhill.state.AttemptIds;
 import org.celeryhill.state.CommandLedger;
 import org.celeryhill.state.EngineLedger;
@@ -48,12 +50,12 @@
 	 * @param lease the lease of the engine's group, not null
 	 * @param observed the engine with the report on which the plan rests, not null
 	 * @param step the step, not null
+	 * @param keeper another engine that keeps the model of an unload, not null
 	 */
-	void send(Lease lease, EngineObservation observed, PlacementPlan.Step step) {
+	void send(Lease lease, EngineObservation observed, PlacementPlan.Step step, Optional<EngineObservation> keeper) {
 		EngineCommand command = new EngineCommand(AttemptIds.random().get(), step.engine(), step.action(), step.model(),
 				step.bytes(), lease.token());
-		CommandLedger.RecordResult recorded = this.ledger.record(lease, command, observed.report().orElseThrow(),
-				observed.requestedNanos());
+		CommandLedger.RecordResult recorded = record(lease, command, observed, keeper);
 		if (recorded instanceof CommandLedger.Recorded ready) {
 			transmit(observed.engine(), ready.command(), step.reason());
 			return;
@@ -65,6 +67,16 @@
 				"result", recorded);
 	}
 
+	private CommandLedger.RecordResult record(Lease lease, EngineCommand command, EngineObservation observed,
+			Optional<EngineObservation> keeper) {
+		EngineReport report = observed.report().orElseThrow();
+		if (keeper.isEmpty()) {
+			return this.ledger.record(lease, command, report, observed.requestedNanos());
+		}
+		long earlier = Math.min(observed.requestedNanos(), keeper.get().requestedNanos());
+		return this.ledger.recordRemoval(lease, command, report, keeper.get().report().orElseThrow(), earlier);
+	}
+
 	/**
 	 * Sends outstanding commands again that have had no effect for a time. Blocks.
 	 * @param lease the lease of the engine's group, not null
--- a/planner/src/main/java/org/celeryhill/planner/EngineFleet.java
+++ b/planner/src/main/java/org/celeryhill/planner/EngineFleet.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
@@ -43,6 +45,9 @@
 	/** Engines by id. */
 	private final ConcurrentMap<BackendServerId, EngineObservation> engines = new ConcurrentHashMap<>();
 
+	/** Latest entries of the host list. */
+	private volatile List<HostList.Entry> entries = List.of();
+
 	/** When each entry host was last seen in the host list, in monotonic nanoseconds. */
 	private final ConcurrentMap<HostId, Long> entryHosts = new ConcurrentHashMap<>();
 
@@ -61,6 +66,7 @@
 		if (entries.isEmpty()) {
 			return;
 		}
+		this.entries = List.copyOf(entries.get());
 		long now = this.timer.nanoTime();
 		for (HostList.Entry entry : entries.get()) {
 			if (entry.kind() == HostList.Kind.ENGINE) {
@@ -70,7 +76,8 @@
 				this.entryHosts.put(HostId.of(entry.id().value()), now);
 			}
 		}
-		this.engines.keySet().removeIf((id) -> entries.get().stream().noneMatch((entry) -> entry.id().equals(id)));
+		Set<BackendServerId> listed = entries.get().stream().map(HostList.Entry::id).collect(Collectors.toSet());
+		this.engines.keySet().retainAll(listed);
 	}
 
 	private EngineObservation merge(EngineObservation known, HostList.Entry entry) {
@@ -124,6 +131,10 @@
 		return seen != null && this.timer.nanoTime() - seen > absence.toNanos();
 	}
 
+	List<HostList.Entry> entries() {
+		return this.entries;
+	}
+
 	Map<BackendServerId, EngineObservation> all() {
 		return Map.copyOf(this.engines);
 	}
--- a/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
+++ b/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
@@ -1,6 +1,5 @@
 package org.celeryhill.planner;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -84,18 +83,18 @@
 		}
 		Lease held = this.lease.orElseThrow();
 		Map<BackendServerId, EngineObservation> engines = new HashMap<>();
-		List<EngineState> states = new ArrayList<>();
+		Map<BackendServerId, EngineState> states = new LinkedHashMap<>();
 		for (EngineObservation observed : this.context.fleet().engines(this.service)) {
 			EngineLedger ledger = ledgers.get()
 				.getOrDefault(observed.entry().id(), EngineLedger.empty(observed.entry().id()));
 			state(observed, ledger).ifPresent((state) -> {
-				states.add(state);
+				states.put(state.id(), state);
 				engines.put(state.id(), observed);
 			});
 		}
-		plan(states);
-		send(held, engines, ledgers.get());
-		this.reasons.write(this.plan.reasons());
+		plan(List.copyOf(states.values()));
+		send(held, engines, states, ledgers.get());
+		this.reasons.write(this.plan, this.context.timer().nanoTime());
 	}
 
 	private boolean renew() {
@@ -185,7 +184,9 @@
 	}
 
 	private void send(Lease held, Map<BackendServerId, EngineObservation> engines,
-			Map<BackendServerId, EngineLedger> ledgers) {
+			Map<BackendServerId, EngineState> states, Map<BackendServerId, EngineLedger> ledgers) {
+		KeeperChoice keepers = new KeeperChoice(states, this.context.revisions().revision(), this.service,
+				this.plan.steps());
 		Map<BackendServerId, List<PlacementPlan.Step>> byEngine = this.plan.steps()
 			.stream()
 			.collect(Collectors.groupingBy(PlacementPlan.Step::engine, LinkedHashMap::new, Collectors.toList()));
@@ -194,12 +195,22 @@
 		targets.retainAll(engines.keySet());
 		Scheduler workers = this.context.workers();
 		Flowable.fromIterable(targets).flatMapCompletable((id) -> Completable.fromAction(() -> {
-			byEngine.getOrDefault(id, List.of()).forEach((step) -> this.sender.send(held, engines.get(id), step));
+			byEngine.getOrDefault(id, List.of()).forEach((step) -> send(held, engines, keepers, step));
 			Optional.ofNullable(ledgers.get(id))
 				.ifPresent((ledger) -> this.sender.resend(held, engines.get(id), ledger));
 		}).subscribeOn(workers), true, this.context.settings().workerThreads).blockingAwait();
 	}
 
+	private void send(Lease held, Map<BackendServerId, EngineObservation> engines, KeeperChoice keepers,
+			PlacementPlan.Step step) {
+		Optional<BackendServerId> keeper = (step.action().isUnload()) ? keepers.keeper(step) : Optional.empty();
+		if (keepers.isRequired(step) && keeper.isEmpty()) {
+			LOG.warn("removal_without_keeper", "engine", step.engine(), "model", step.model());
+			return;
+		}
+		this.sender.send(held, engines.get(step.engine()), step, keeper.map(engines::get));
+	}
+
 	/** Gives the lease back, so that another planner takes over at once. Blocks. */
 	void release() {
 		this.lease.ifPresent((held) -> this.context.leases().release(held));
--- a/planner/src/main/java/org/celeryhill/planner/PlannerDaemon.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerDaemon.java
@@ -118,7 +118,8 @@
 			.readiness(() -> this.isReady.get() && !this.isStopping.get())
 			.dump(this::dump)
 			.start();
-		repeat(this.settings.headPeriod, this.context.revisions()::follow);
+		this.ports.peers().ifPresent(this::join);
+		repeat(this.settings.headPeriod, this::followRevision);
 		repeat(this.settings.demandPeriod, this.context.demand()::refresh);
 		repeat(this.settings.stopPeriod, this::followStops);
 		repeat(this.settings.roundPeriod, this::refreshHosts);
@@ -148,8 +149,24 @@
 		}
 	}
 
+	private void join(PeerLink link) {
+		this.tasks.add(link.node()
+			.revisions()
+			.observeOn(Schedulers.from(this.rounds))
+			.subscribe(this.context.revisions()::apply));
+		this.metrics.peers(link.node());
+		link.node().start();
+	}
+
+	private void followRevision() {
+		this.context.revisions()
+			.follow()
+			.ifPresent((document) -> this.ports.peers().ifPresent((link) -> link.node().offerRevision(document)));
+	}
+
 	private void refreshHosts() {
 		this.context.fleet().refreshHosts();
+		this.ports.peers().ifPresent((link) -> link.seeds().update(this.context.fleet().entries()));
 		this.isReady.set(true);
 	}
 
@@ -219,6 +236,7 @@
 			Thread.currentThread().interrupt();
 		}
 		this.groups.values().forEach(GroupPlanner::release);
+		this.ports.peers().ifPresent((link) -> link.node().close());
 		this.workerThreads.shutdown();
 		this.admin.stop(Duration.ofSeconds(1));
 	}
@@ -228,6 +246,10 @@
 		dump.put("host", this.settings.hostId);
 		dump.put("appliedRevision", this.context.revisions().revision().number());
 		dump.put("groups", this.groups.values().stream().map(GroupPlanner::dump).toList());
+		this.ports.peers().ifPresent((link) -> {
+			dump.put("peers", link.node().counts());
+			dump.put("members", link.node().members().stream().map(Object::toString).toList());
+		});
 		dump.put("plannedStops", this.context.stops().dump());
 		dump.put("demand", this.context.demand()
 			.demand()
--- a/planner/src/main/java/org/celeryhill/planner/PlannerMain.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerMain.java
@@ -1,13 +1,20 @@
 package org.celeryhill.planner;
 
 import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 
 import okhttp3.OkHttpClient;
+import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.EventLog;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.Region;
 import org.celeryhill.base.SystemTimerService;
+import org.celeryhill.base.TimerService;
 import org.celeryhill.http.ClientSettings;
 import org.celeryhill.http.EnvironmentDefaults;
 import org.celeryhill.http.HttpEngine;
@@ -17,6 +24,8 @@
 import org.celeryhill.http.HttpTableService;
 import org.celeryhill.http.LogSetup;
 import org.celeryhill.http.SettingsChecks;
+import org.celeryhill.peer.PeerSettings;
+import org.celeryhill.peer.ThriftPeerNode;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -72,17 +81,29 @@
 		sun.misc.Signal.handle(new sun.misc.Signal(name), (signal) -> action.run());
 	}
 
+	// The entry daemon of the host is a process of its own and takes the id of the host.
+	private PeerLink peers(TimerService timer) {
+		PeerSeeds seeds = new PeerSeeds(this.settings.parseSeeds().orElseThrow(),
+				List.of(this.settings.entryPeerPort, this.settings.peerPort));
+		PeerSettings identity = PeerSettings.of(HostId.of(this.settings.hostId + "/planner"),
+				new InetSocketAddress(this.settings.address, this.settings.peerPort),
+				DataCentre.of(this.settings.dataCentre), Region.of(this.settings.region),
+				timer.instant().toEpochMilli());
+		return new PeerLink(ThriftPeerNode.create(identity, timer, seeds), seeds);
+	}
+
 	private PlannerPorts ports() {
 		OkHttpClient client = new OkHttpClient();
 		ClientSettings limits = ClientSettings.defaults()
 			.withConnectTimeout(this.settings.connectTimeout)
 			.withAnswerTimeout(this.settings.storeTimeout);
-		return new PlannerPorts(SystemTimerService.create(),
-				HttpTableService.create(this.settings.tableUrl, client, limits),
+		TimerService timer = SystemTimerService.create();
+		return new PlannerPorts(timer, HttpTableService.create(this.settings.tableUrl, client, limits),
 				HttpObjectService.create(this.settings.objectUrl, client, limits),
 				HttpHostList.create(this.settings.hostListUrl, client, limits),
 				(entry) -> HttpEngine.create(entry.id(), entry.address(), client, limits),
-				(entry) -> HttpPlainService.create(entry.id(), entry.address(), client, limits));
+				(entry) -> HttpPlainService.create(entry.id(), entry.address(), client, limits),
+				Optional.of(peers(timer)));
 	}
 
 }
--- a/planner/src/main/java/org/celeryhill/planner/PlannerMetrics.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerMetrics.java
@@ -1,15 +1,21 @@
 package org.celeryhill.planner;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celeryhill.peer.ThriftPeerNode;
 
 /**
  * Prometheus metrics of the planner daemon. Thread-safe.
  */
 final class PlannerMetrics {
 
+	/** Registry of all metrics. */
+	private final PrometheusRegistry registry;
+
 	/** Rounds by service. */
 	private final Counter rounds;
 
@@ -23,6 +29,7 @@
 	private final Counter failures;
 
 	PlannerMetrics(PrometheusRegistry registry) {
+		this.registry = registry;
 		this.rounds = Counter.builder()
 			.name("planner_rounds")
 			.help("Planning rounds by service")
@@ -50,6 +57,32 @@
 		this.holder.labelValues(service).set((isHolder) ? 1 : 0);
 	}
 
+	/**
+	 * Adds the metrics of the exchange with other processes.
+	 * @param node the node, not null
+	 */
+	void peers(ThriftPeerNode node) {
+		CounterWithCallback.builder()
+			.name("planner_peer_bytes")
+			.help("Bytes of the peer protocol without TCP and IP headers")
+			.labelNames("direction")
+			.callback((callback) -> {
+				callback.call(node.counters().sentBytes(), "sent");
+				callback.call(node.counters().receivedBytes(), "received");
+			})
+			.register(this.registry);
+		CounterWithCallback.builder()
+			.name("planner_peer_call_failures")
+			.help("Calls to peers that failed or were dropped")
+			.callback((callback) -> callback.call(node.counters().failedCalls() + node.counters().droppedCalls()))
+			.register(this.registry);
+		GaugeWithCallback.builder()
+			.name("planner_peer_members")
+			.help("Processes that are believed to be alive")
+			.callback((callback) -> callback.call(node.members().size()))
+			.register(this.registry);
+	}
+
 	void failure() {
 		this.failures.inc();
 	}
--- a/planner/src/main/java/org/celeryhill/planner/PlannerPorts.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerPorts.java
@@ -1,6 +1,7 @@
 package org.celeryhill.planner;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Function;
 
 import org.celeryhill.base.TimerService;
@@ -19,9 +20,11 @@
  * @param hosts the host list, not null
  * @param engines creates the adapter of an engine, not null
  * @param plain creates the adapter of a plain server, not null
+ * @param peers the exchange with other processes, empty to run alone, not null
  */
 record PlannerPorts(TimerService timer, TableService table, ObjectService objects, HostList hosts,
-		Function<HostList.Entry, Engine> engines, Function<HostList.Entry, PlainService> plain) {
+		Function<HostList.Entry, Engine> engines, Function<HostList.Entry, PlainService> plain,
+		Optional<PeerLink> peers) {
 
 	PlannerPorts {
 		Objects.requireNonNull(timer, "timer");
@@ -30,6 +33,7 @@
 		Objects.requireNonNull(hosts, "hosts");
 		Objects.requireNonNull(engines, "engines");
 		Objects.requireNonNull(plain, "plain");
+		Objects.requireNonNull(peers, "peers");
 	}
 
 }
--- a/planner/src/main/java/org/celeryhill/planner/PlannerSettings.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerSettings.java
@@ -1,7 +1,13 @@
 package org.celeryhill.planner;
 
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.celeryhill.http.SettingsChecks;
 import picocli.CommandLine.Option;
@@ -11,6 +17,9 @@
  */
 final class PlannerSettings {
 
+	/** IP number, in brackets if it has colons, and port. */
+	private static final Pattern SEED = Pattern.compile("(\\d+\\.\\d+\\.\\d+\\.\\d+|\\[[0-9a-fA-F:]+\\]):(\\d{1,5})");
+
 	@Option(names = "--host-id", description = "Id of this host; at most one planner daemon runs on a host.")
 	String hostId;
 
@@ -29,6 +38,14 @@
 	@Option(names = "--peer-port", defaultValue = "8092", description = "Port of the peer protocol, 0 for any.")
 	int peerPort;
 
+	@Option(names = "--entry-peer-port", defaultValue = "8082",
+			description = "Port of the peer protocol of the entry daemons.")
+	int entryPeerPort;
+
+	@Option(names = "--peer-seeds", split = ",", defaultValue = "",
+			description = "Addresses of other processes in addition to the host list, as IP:port, separated by commas.")
+	List<String> peerSeeds;
+
 	@Option(names = "--host-list-url", description = "Address of the platform's host list.")
 	URI hostListUrl;
 
@@ -95,6 +112,8 @@
 			.requireAddress("--address", this.address)
 			.requirePort("--admin-port", this.adminPort)
 			.requirePort("--peer-port", this.peerPort)
+			.requireRange("--entry-peer-port", this.entryPeerPort, 1, 65535)
+			.require(parseSeeds().isPresent(), "--peer-seeds", "must be IP:port pairs separated by commas")
 			.requireHttpUri("--host-list-url", this.hostListUrl)
 			.requireHttpUri("--table-url", this.tableUrl)
 			.requireHttpUri("--object-url", this.objectUrl)
@@ -114,4 +133,23 @@
 					"must be at least three times --round-period, so that a renewal can be missed");
 	}
 
+	/**
+	 * Returns the addresses of the settings.
+	 * @return the addresses, or empty if one of them is not an IP number with a port
+	 */
+	Optional<List<InetSocketAddress>> parseSeeds() {
+		List<InetSocketAddress> addresses = new ArrayList<>();
+		for (String seed : (this.peerSeeds != null) ? this.peerSeeds : List.<String>of()) {
+			if (seed.isBlank()) {
+				continue;
+			}
+			Matcher matcher = SEED.matcher(seed.strip());
+			if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > 65535) {
+				return Optional.empty();
+			}
+			addresses.add(new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))));
+		}
+		return Optional.of(addresses);
+	}
+
 }
--- a/planner/src/main/java/org/celeryhill/planner/ReasonWriter.java
+++ b/planner/src/main/java/org/celeryhill/planner/ReasonWriter.java
@@ -1,13 +1,15 @@
 package org.celeryhill.planner;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.celeryhill.base.ModelId;
+import org.celeryhill.base.Finding;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.http.Json;
+import org.celeryhill.placement.PlacementPlan;
 import org.celeryhill.port.Row;
 import org.celeryhill.port.RowKey;
 import org.celeryhill.port.RowWrite;
@@ -29,6 +31,22 @@
 	/** Row of the service. */
 	private final RowKey key;
 
+	/**
+	 * Least time between two writes, in nanoseconds. Reasons contain the demand and so
+	 * change nearly every round; the table service takes several hundred writes a second
+	 * from all processes.
+	 */
+	private static final long PERIOD_NANOS = 5_000_000_000L;
+
+	/** Findings in a row. */
+	private static final int MAX_FINDINGS = 100;
+
+	/** When the row was written last, in monotonic nanoseconds. */
+	private long writtenNanos;
+
+	/** Whether the row has been written. */
+	private boolean isWritten;
+
 	/** Text that was written last. */
 	private String written = "";
 
@@ -38,13 +56,19 @@
 	}
 
 	/**
-	 * Writes the reasons. Blocks.
-	 * @param reasons the reason by model, not null
+	 * Writes the reasons and findings if they have changed and the last write is long
+	 * enough ago. Blocks.
+	 * @param plan the plan, not null
+	 * @param nowNanos the monotonic time in nanoseconds
 	 */
-	void write(Map<ModelId, String> reasons) {
+	void write(PlacementPlan plan, long nowNanos) {
+		if (this.isWritten && nowNanos - this.writtenNanos < PERIOD_NANOS) {
+			return;
+		}
 		Map<String, String> sorted = new TreeMap<>();
-		reasons.forEach((model, reason) -> sorted.put(model.value(), reason));
-		String text = Json.mapper().valueToTree(Map.of("reasons", sorted)).toString();
+		plan.reasons().forEach((model, reason) -> sorted.put(model.value(), reason));
+		List<String> findings = plan.findings().stream().limit(MAX_FINDINGS).map(Finding::toString).toList();
+		String text = Json.mapper().valueToTree(Map.of("reasons", sorted, "findings", findings)).toString();
 		if (text.equals(this.written)) {
 			return;
 		}
@@ -56,6 +80,8 @@
 		RowWrite write = row.map((one) -> RowWrite.replace(one, text)).orElseGet(() -> RowWrite.create(this.key, text));
 		if (this.writer.write(write) instanceof ConditionalWriter.Applied) {
 			this.written = text;
+			this.writtenNanos = nowNanos;
+			this.isWritten = true;
 		}
 	}
 
--- a/planner/src/main/java/org/celeryhill/planner/RevisionSource.java
+++ b/planner/src/main/java/org/celeryhill/planner/RevisionSource.java
@@ -1,6 +1,7 @@
 package org.celeryhill.planner;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.celeryhill.base.EventLog;
@@ -37,15 +38,20 @@
 		return this.revision.get();
 	}
 
-	/** Reads the head and fetches its revision if it is newer. Blocks. */
-	void follow() {
+	/**
+	 * Reads the head and fetches its revision if it is newer. Blocks.
+	 * @return the revision that was fetched, empty if there is none or no answer
+	 */
+	Optional<RevisionDocument> follow() {
 		if (!(this.store.head() instanceof ConfigurationStore.Head read)) {
-			return;
+			return Optional.empty();
 		}
 		long head = read.head().number();
 		if (head > revision().number() && this.store.fetch(head) instanceof ConfigurationStore.Fetched fetched) {
 			apply(fetched.document());
+			return Optional.of(fetched.document());
 		}
+		return Optional.empty();
 	}
 
 	/**
