--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -263,10 +263,13 @@
 	}
 
 	private void sendFirst(ServicePool pool, FlowQueue flow, long now, List<TrafficAction> actions) {
-		boolean isBlocked = flow.route.isBlocked(flow.priority());
-		BackendState backend = isBlocked ? null : this.router.choose(pool, flow.peek(), this.share, false, now);
+		Room room = pool.queue.room();
+		BackendState backend = null;
+		if (!flow.route.isBlocked(room)) {
+			backend = this.router.choose(pool, flow.peek(), room, this.share, false, now);
+		}
 		if (backend == null) {
-			flow.block();
+			flow.block(room);
 			return;
 		}
 		actions.add(send(pool, flow.take(), backend, false, now));
@@ -310,7 +313,7 @@
 			ServicePool pool = this.pools.get(pending.request.service());
 			if (pool.queue.isEmpty() && pending.running == 1) {
 				pending.avoid(attempt.backend.id);
-				BackendState backend = this.router.choose(pool, pending, this.share, true, now);
+				BackendState backend = this.router.choose(pool, pending, Room.FULL, this.share, true, now);
 				if (backend != null && this.hedges.take()) {
 					pending.isHedged = true;
 					actions.add(send(pool, pending, backend, true, now));
@@ -326,18 +329,26 @@
 		if (attempt == null || tokens <= attempt.tokens) {
 			return;
 		}
-		BackendState backend = attempt.backend;
-		backend.progress(attempt, tokens);
+		attempt.backend.progress(attempt, tokens);
 		if (attempt.tokens > 0) {
-			double between = (double) (now - attempt.updated) / (tokens - attempt.tokens);
-			double ratio = between / attempt.pending.target.betweenTokens().toNanos();
-			backend.limit.observe(attempt.pending.request.priority(), ratio, backend.load(), now);
+			observeSpeed(attempt, tokens, now);
+		}
+		else {
+			attempt.pending.flow.parent.started(now - attempt.sent);
 		}
 		attempt.pending.isAnswering = true;
 		attempt.tokens = tokens;
 		attempt.updated = now;
 	}
 
+	private void observeSpeed(PendingRequest.Attempt attempt, int tokens, long now) {
+		BackendState backend = attempt.backend;
+		double between = (double) (now - attempt.updated) / (tokens - attempt.tokens);
+		ServicePool pool = this.pools.get(attempt.pending.request.service());
+		double ratio = between / pool.betweenTokensNanos(attempt.pending.flow.priority(), now);
+		backend.limit.observe(ratio, backend.load(), now);
+	}
+
 	@Override
 	public void finish(AttemptId id, AttemptOutcome outcome, long now) {
 		PendingRequest.Attempt attempt = this.table.attempt(id);
@@ -405,7 +416,7 @@
 	@Override
 	public void observePeer(UsageTotals totals, long now) {
 		this.usage.observe(totals, now,
-				(id, tokens) -> this.pools.values().forEach((pool) -> pool.queue.chargePeer(id, tokens)));
+				(key, tokens) -> this.pools.values().forEach((pool) -> pool.queue.chargePeer(key, tokens)));
 	}
 
 	@Override
