--- a/measure/src/main/java/org/celeryhill/measure/MeasureCommand.java
+++ b/measure/src/main/java/org/celeryhill/measure/MeasureCommand.java
@@ -6,6 +6,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -88,6 +91,45 @@
 		return figures.isViolated() ? FAILED : 0;
 	}
 
+	/**
+	 * Runs the system and the baseline on the same seeds and checks the targets.
+	 * @param seeds the seeds
+	 * @param deployments the deployments
+	 * @param format the output format
+	 * @return 0, or 1 if a target was missed or an invariant broken
+	 * @throws JsonProcessingException if the result cannot be written
+	 */
+	@Command(name = "compare", description = "Compares with the baseline and checks the targets.")
+	int compare(@Option(names = "--seeds", split = ",", defaultValue = "1,2,3", description = "seeds") long[] seeds,
+			@Option(names = "--deployment", split = ",", defaultValue = "cooperative,office",
+					description = "${COMPLETION-CANDIDATES}") Deployment[] deployments,
+			@Option(names = "--output", defaultValue = "text", description = "${COMPLETION-CANDIDATES}") Format format)
+			throws JsonProcessingException {
+		boolean isMet = true;
+		for (Deployment deployment : deployments) {
+			Comparison.Result result = new Comparison(deployment, seeds).run();
+			isMet &= result.isMet();
+			print(result, format);
+		}
+		return isMet ? 0 : FAILED;
+	}
+
+	/**
+	 * Runs the JMH benchmarks of one routing and one admission decision.
+	 * @return 0, or 1 if they could not run
+	 */
+	@Command(name = "bench", description = "Runs the benchmarks of single decisions.")
+	int bench() {
+		try {
+			new Runner(new OptionsBuilder().include(DecisionBenchmark.class.getName()).build()).run();
+			return 0;
+		}
+		catch (RunnerException ex) {
+			this.spec.commandLine().getErr().println("benchmarks failed: " + ex.getMessage());
+			return FAILED;
+		}
+	}
+
 	/** Output formats. */
 	enum Format {
 
--- a/measure/src/main/java/org/celeryhill/measure/TextReport.java
+++ b/measure/src/main/java/org/celeryhill/measure/TextReport.java
@@ -32,6 +32,10 @@
 				text.append(indent).append(key).append(":\n");
 				append(text, inner, indent + "  ");
 			}
+			else if (value instanceof java.util.List<?> list) {
+				text.append(indent).append(key).append(":\n");
+				list.forEach((one) -> text.append(indent).append("  ").append(one).append('\n'));
+			}
 			else {
 				text.append(indent).append(key).append(": ").append(value).append('\n');
 			}
--- a/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/FlowQueue.java
@@ -16,6 +16,9 @@
 	/** Route of the model. */
 	final ModelRoute route;
 
+	/** Removed requests below which none is cleaned up. */
+	private static final int MIN_REMOVED = 64;
+
 	/** Added to the arrival order of a request that has missed its target. */
 	private static final long LATE = 1L << 60;
 
@@ -28,6 +31,9 @@
 	 */
 	private final ArrayDeque<PendingRequest> late = new ArrayDeque<>();
 
+	/** Requests removed since the last pass. */
+	private int removed;
+
 	/** Whether it waits for room. */
 	private boolean isBlocked;
 
@@ -126,9 +132,21 @@
 	void remove(PendingRequest pending) {
 		pending.state = PendingRequest.State.REMOVED;
 		this.parent.removed(pending);
+		cleanUp();
 		refresh();
 	}
 
+	// Requests that are cancelled in the middle stay in the queue until it is worth a
+	// pass.
+	private void cleanUp() {
+		this.removed++;
+		if (this.removed > MIN_REMOVED && 2 * this.removed > this.requests.size() + this.late.size()) {
+			this.requests.removeIf((one) -> one.state != PendingRequest.State.QUEUED);
+			this.late.removeIf((one) -> one.state != PendingRequest.State.QUEUED);
+			this.removed = 0;
+		}
+	}
+
 	/**
 	 * Stops offering requests until there may be room again.
 	 * @param room the room that is used up
--- a/traffic/src/main/java/org/celeryhill/traffic/RequestTable.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/RequestTable.java
@@ -17,6 +17,12 @@
 	/** Requests with a failed attempt that are kept for a retry. */
 	private static final int FAILED_KEPT = 2000;
 
+	/** Entries of the deadline queue below which none is cleaned up. */
+	private static final int MIN_STALE = 256;
+
+	/** Entries of the deadline queue per request from which it is cleaned up. */
+	private static final int STALE_FACTOR = 4;
+
 	/** Requests that wait or run. */
 	private final Map<RequestId, PendingRequest> requests = new HashMap<>();
 
@@ -67,6 +73,9 @@
 	void dequeue(PendingRequest pending) {
 		this.requests.remove(pending.request.id());
 		pending.flow.remove(pending);
+		if (this.deadlines.size() > MIN_STALE + STALE_FACTOR * this.requests.size()) {
+			this.deadlines.removeIf((one) -> one.state != PendingRequest.State.QUEUED);
+		}
 	}
 
 	/**
