--- a/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ClassQueue.java
@@ -14,6 +14,9 @@
  */
 final class ClassQueue {
 
+	/** Weight of a new first token in the mean time to it. */
+	private static final double LEARNING_RATE = 0.02;
+
 	/** Class. */
 	final PriorityClass priority;
 
@@ -35,15 +38,24 @@
 	/** Learned part of the maximum answer length that is generated. */
 	double outputPart = 0.5;
 
+	/** Mean time from sending to the first token, in nanoseconds. */
+	private double meanStart;
+
 	/** Targets, replaced with each configuration. */
 	ClassTarget target;
 
 	/** Virtual start time of the next request, in tokens per part of the organisation. */
 	double tag;
 
+	/** Usage of the organisation up to which the floor has been served, in tokens. */
+	double floorTag;
+
 	/** Waiting requests. */
 	private int count;
 
+	/** Estimated tokens of the waiting requests that have missed their target. */
+	private long lateTokens;
+
 	/** Arrival of the request that ended the last time without waiting requests. */
 	private long backloggedSince;
 
@@ -84,11 +96,18 @@
 	}
 
 	/**
-	 * Returns the queue whose head arrived first among those that may find room.
+	 * Returns the queue whose head arrived first among those that may find room; heads
+	 * that have missed their target come last.
+	 * @param now the time in nanoseconds
 	 * @return the queue, null if none is ready
 	 */
-	FlowQueue first() {
-		return this.ready.isEmpty() ? null : this.ready.first();
+	FlowQueue first(long now) {
+		FlowQueue first = this.ready.isEmpty() ? null : this.ready.first();
+		while (first != null && !first.peek().isDemoted && first.peek().isLate(now)) {
+			first.demoteLate(now);
+			first = this.ready.first();
+		}
+		return first;
 	}
 
 	/**
@@ -119,6 +138,26 @@
 	void removed(PendingRequest pending) {
 		this.count--;
 		this.tokens -= pending.cost;
+		if (pending.isDemoted) {
+			this.lateTokens -= pending.cost;
+		}
+	}
+
+	/**
+	 * Counts a request that has missed its target.
+	 * @param pending the request
+	 */
+	void demoted(PendingRequest pending) {
+		pending.isDemoted = true;
+		this.lateTokens += pending.cost;
+	}
+
+	/**
+	 * Returns the estimated tokens of the waiting requests that go before a new one.
+	 * @return the tokens
+	 */
+	long tokensAhead() {
+		return this.tokens - this.lateTokens;
 	}
 
 	/**
@@ -141,6 +180,22 @@
 		}
 	}
 
+	/**
+	 * Learns from a first token.
+	 * @param nanos the time since the attempt was sent, in nanoseconds
+	 */
+	void started(long nanos) {
+		this.meanStart += LEARNING_RATE * (nanos - this.meanStart);
+	}
+
+	/**
+	 * Returns the time to allow from sending to the first token.
+	 * @return twice the mean, at most three quarters of the target, in nanoseconds
+	 */
+	double startNanos() {
+		return Math.min(2 * this.meanStart, 0.75 * this.target.firstToken().toNanos());
+	}
+
 	/**
 	 * Returns the number of waiting requests.
 	 * @return the number
@@ -171,9 +226,9 @@
 	 * @return the ratio, 0 if none is ready
 	 */
 	double pressure(long now) {
-		FlowQueue flow = first();
-		if (flow == null) {
-			return 0;
+		FlowQueue flow = first(now);
+		if (flow == null || flow.peek().isDemoted) {
+			return (flow != null) ? 1 : 0;
 		}
 		double waited = now - flow.peek().request.arrivedNanos();
 		return waited / this.target.firstToken().toNanos();
