--- a/planner/src/main/java/org/celeryhill/planner/CommandSender.java
+++ b/planner/src/main/java/org/celeryhill/planner/CommandSender.java
@@ -74,7 +74,8 @@
 			return this.ledger.record(lease, command, report, observed.requestedNanos());
 		}
 		long earlier = Math.min(observed.requestedNanos(), keeper.get().requestedNanos());
-		return this.ledger.recordRemoval(lease, command, report, keeper.get().report().orElseThrow(), earlier);
+		return this.ledger.recordRemoval(lease, command, report, command.model(), keeper.get().report().orElseThrow(),
+				earlier);
 	}
 
 	/**
--- a/planner/src/main/java/org/celeryhill/planner/PlannerDaemon.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerDaemon.java
@@ -246,15 +246,11 @@
 		dump.put("host", this.settings.hostId);
 		dump.put("revision", this.context.revisions().revision().number());
 		dump.put("groups", this.groups.values().stream().map(GroupPlanner::dump).toList());
-<<<<<<< HEAD
-		dump.put("planned_stops", this.context.stops().dump());
-=======
 		this.ports.peers().ifPresent((link) -> {
 			dump.put("peers", link.node().counts());
 			dump.put("members", link.node().members().stream().map(Object::toString).toList());
 		});
-		dump.put("plannedStops", this.context.stops().dump());
->>>>>>> placement
+		dump.put("planned_stops", this.context.stops().dump());
 		dump.put("demand", this.context.demand()
 			.demand()
 			.entrySet()
