--- a/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
+++ b/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
@@ -203,12 +203,13 @@
 
 	private void send(Lease held, Map<BackendServerId, EngineObservation> engines, KeeperChoice keepers,
 			PlacementPlan.Step step) {
-		Optional<BackendServerId> keeper = (step.action().isUnload()) ? keepers.keeper(step) : Optional.empty();
+		Optional<KeeperChoice.Copy> keeper = (step.action().isUnload()) ? keepers.keeper(step) : Optional.empty();
 		if (keepers.isRequired(step) && keeper.isEmpty()) {
 			LOG.warn("removal_without_keeper", "engine", step.engine(), "model", step.model());
 			return;
 		}
-		this.sender.send(held, engines.get(step.engine()), step, keeper.map(engines::get));
+		this.sender.send(held, engines.get(step.engine()), step,
+				keeper.map((copy) -> new CommandSender.Keeper(engines.get(copy.engine()), copy.model())));
 	}
 
 	/** Gives the lease back, so that another planner takes over at once. Blocks. */
@@ -225,7 +226,7 @@
 		Map<String, Object> dump = new LinkedHashMap<>();
 		dump.put("service", this.service.value());
 		dump.put("holder", isHolder());
-		dump.put("fencingToken", this.lease.map((held) -> held.token().value()).orElse(0L));
+		dump.put("fencing_token", this.lease.map((held) -> held.token().value()).orElse(0L));
 		dump.put("rounds", this.rounds);
 		dump.put("steps", this.plan.steps().stream().map(Object::toString).toList());
 		dump.put("findings", this.plan.findings().stream().map(Object::toString).toList());
--- a/planner/src/main/java/org/celeryhill/planner/KeeperChoice.java
+++ b/planner/src/main/java/org/celeryhill/planner/KeeperChoice.java
@@ -1,6 +1,7 @@
 package org.celeryhill.planner;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
@@ -18,7 +19,8 @@
 import org.celeryhill.port.EngineCommand.Action;
 
 /**
- * Chooses the engine that keeps a model which another engine is to unload. Immutable.
+ * Chooses the copy that keeps a model reachable which an engine is to unload: the same
+ * model on another engine, or its successor after a version change. Immutable.
  */
 final class KeeperChoice {
 
@@ -28,8 +30,11 @@
 	/** Models that the configuration lists. */
 	private final Set<ModelId> listed;
 
+	/** Listed model by family. */
+	private final Map<String, ModelId> byFamily = new HashMap<>();
+
 	/** Removals of the plan. */
-	private final Set<Removal> removals = new HashSet<>();
+	private final Set<Copy> removals = new HashSet<>();
 
 	KeeperChoice(Map<BackendServerId, EngineState> states, Revision revision, ServiceId service,
 			Collection<PlacementPlan.Step> steps) {
@@ -40,44 +45,61 @@
 			.flatMap((one) -> one.models().stream())
 			.map(ModelSpec::id)
 			.collect(Collectors.toSet());
+		this.listed.forEach((model) -> this.byFamily.put(family(model), model));
 		steps.stream()
 			.filter((step) -> step.action().isUnload())
-			.forEach((step) -> this.removals.add(new Removal(step.engine(), step.model())));
+			.forEach((step) -> this.removals.add(new Copy(step.engine(), step.model())));
 	}
 
 	/**
-	 * Returns whether a step may only be sent if another engine keeps the model.
+	 * Returns whether a step may only be sent if a copy keeps the model reachable.
 	 * @param step the step, not null
-	 * @return true for an unload of a listed model; adapters are loaded on demand
+	 * @return true for an unload of a listed model or of one with a listed successor;
+	 * adapters are loaded on demand
 	 */
 	boolean isRequired(PlacementPlan.Step step) {
-		return step.action() == Action.UNLOAD_MODEL && this.listed.contains(step.model());
+		boolean isReachable = this.listed.contains(step.model()) || successor(step.model()).isPresent();
+		return step.action() == Action.UNLOAD_MODEL && isReachable;
+	}
+
+	private Optional<ModelId> successor(ModelId model) {
+		return this.listed.contains(model) ? Optional.empty() : Optional.ofNullable(this.byFamily.get(family(model)));
+	}
+
+	private static String family(ModelId model) {
+		int at = model.value().lastIndexOf('@');
+		return (at > 0) ? model.value().substring(0, at) : model.value();
 	}
 
 	/**
-	 * Returns the engine that keeps the model of an unload.
+	 * Returns the copy that keeps the model of an unload reachable.
 	 * @param step the step, not null
-	 * @return the engine, or empty if no other engine that stays has the model ready
+	 * @return the copy, or empty if no engine that stays has one ready
 	 */
-	Optional<BackendServerId> keeper(PlacementPlan.Step step) {
+	Optional<Copy> keeper(PlacementPlan.Step step) {
+		Optional<Copy> same = keeper(step.model(), step.engine());
+		return (same.isPresent()) ? same : successor(step.model()).flatMap((model) -> keeper(model, null));
+	}
+
+	private Optional<Copy> keeper(ModelId model, BackendServerId except) {
 		return this.states.values()
 			.stream()
-			.filter((state) -> !state.id().equals(step.engine()))
+			.filter((state) -> !state.id().equals(except))
 			.filter((state) -> !state.isLeaving() && !state.isSuspect())
-			.filter((state) -> state.report().isReady(step.model()))
-			.filter((state) -> !state.pendingUnloads().contains(step.model()))
-			.map(EngineState::id)
-			.filter((id) -> !this.removals.contains(new Removal(id, step.model())))
+			.filter((state) -> state.report().isReady(model))
+			.filter((state) -> !state.pendingUnloads().contains(model))
+			.map((state) -> new Copy(state.id(), model))
+			.filter((copy) -> !this.removals.contains(copy))
 			.findFirst();
 	}
 
 	/**
-	 * A planned removal.
+	 * A copy of a model.
 	 *
 	 * @param engine the engine
 	 * @param model the model
 	 */
-	private record Removal(BackendServerId engine, ModelId model) {
+	record Copy(BackendServerId engine, ModelId model) {
 
 	}
 
--- a/planner/src/main/java/org/celeryhill/planner/PlannerSettings.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerSettings.java
@@ -42,7 +42,7 @@
 			description = "Port of the peer protocol of the entry daemons.")
 	int entryPeerPort;
 
-	@Option(names = "--peer-seeds", split = ",", defaultValue = "",
+	@Option(names = "--peer-seeds", split = ",",
 			description = "Addresses of other processes in addition to the host list, as IP:port, separated by commas.")
 	List<String> peerSeeds;
 
--- a/planner/src/test/java/org/celeryhill/planner/PlannerDaemonTests.java
+++ b/planner/src/test/java/org/celeryhill/planner/PlannerDaemonTests.java
@@ -47,7 +47,7 @@
 			first.offerRevision(PlannerWorld.demo(5));
 			PlannerDaemon daemon = new PlannerDaemon(PlannerWorld.settings(), world.ports(Optional.of(two)));
 			daemon.start();
-			await(() -> Long.valueOf(5).equals(daemon.dump().get("appliedRevision")));
+			await(() -> Long.valueOf(5).equals(daemon.dump().get("revision")));
 			RowKey lease = RowKey.of("lease", PlannerWorld.SERVICE.value());
 			await(() -> world.table.peek(lease).isPresent());
 			await(() -> world.ready("mill-a/furnish@1") > 0);
--- a/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PendingRequest.java
@@ -33,6 +33,9 @@
 	/** State in the queue. */
 	State state = State.QUEUED;
 
+	/** Whether it waits behind the requests that can meet their target. */
+	boolean isDemoted;
+
 	/** Whether it was ever sent. */
 	boolean isSent;
 
@@ -85,6 +88,17 @@
 		return copy;
 	}
 
+	/**
+	 * Returns whether the target for the first token can no longer be met. A retry is
+	 * never late, its first token may have been delivered already.
+	 * @param now the time in nanoseconds
+	 * @return true if it would probably miss the target even if it were sent now
+	 */
+	boolean isLate(long now) {
+		double left = this.target.firstToken().toNanos() - this.flow.parent.startNanos();
+		return !this.isSent && now - this.request.arrivedNanos() > left;
+	}
+
 	/**
 	 * Adds a backend server that gets no further attempt.
 	 * @param id the backend server
--- a/traffic/src/main/java/org/celeryhill/traffic/Router.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/Router.java
@@ -48,6 +48,9 @@
 	/** Part of each limit that the daemon is entitled to. */
 	private double share;
 
+	/** Part of each limit that may be filled. */
+	private Room room;
+
 	/** How common urgent requests are, from 0 to 1. */
 	private double urgency;
 
@@ -72,15 +75,17 @@
 	 * Chooses a backend server with room.
 	 * @param pool the service
 	 * @param request the request
+	 * @param room the part of each limit that may be filled
 	 * @param part the part of the limits that this daemon is entitled to
 	 * @param hedge whether another attempt runs already
 	 * @param now the time in nanoseconds
 	 * @return the backend server, null if none has room
 	 */
-	BackendState choose(ServicePool pool, PendingRequest request, double part, boolean hedge, long now) {
+	BackendState choose(ServicePool pool, PendingRequest request, Room room, double part, boolean hedge, long now) {
 		this.pending = request;
 		this.share = part;
 		this.isHedge = hedge;
+		this.room = room;
 		this.urgency = pool.urgency(now);
 		this.best = null;
 		this.bestSeconds = Double.MAX_VALUE;
@@ -139,7 +144,7 @@
 			return;
 		}
 		int units = units(one);
-		if (!one.hasRoom(units, this.pending.flow.priority(), part, this.urgency, now)) {
+		if (!one.hasRoom(units, this.room, part, this.urgency, now)) {
 			return;
 		}
 		int prefill = Math.max(1, this.pending.request.promptTokens() - this.prefixes.cachedTokens(one));
