--- a/planner/src/main/java/org/celeryhill/planner/CommandSender.java
+++ b/planner/src/main/java/org/celeryhill/planner/CommandSender.java
@@ -8,6 +8,7 @@
 
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.EventLog;
+import org.celeryhill.base.ModelId;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.placement.PlacementPlan;
 import org.celeryhill.port.Engine;
@@ -50,9 +51,9 @@
 	 * @param lease the lease of the engine's group, not null
 	 * @param observed the engine with the report on which the plan rests, not null
 	 * @param step the step, not null
-	 * @param keeper another engine that keeps the model of an unload, not null
+	 * @param keeper the copy that keeps the model of an unload reachable, not null
 	 */
-	void send(Lease lease, EngineObservation observed, PlacementPlan.Step step, Optional<EngineObservation> keeper) {
+	void send(Lease lease, EngineObservation observed, PlacementPlan.Step step, Optional<Keeper> keeper) {
 		EngineCommand command = new EngineCommand(AttemptIds.random().get(), step.engine(), step.action(), step.model(),
 				step.bytes(), lease.token());
 		CommandLedger.RecordResult recorded = record(lease, command, observed, keeper);
@@ -68,13 +69,14 @@
 	}
 
 	private CommandLedger.RecordResult record(Lease lease, EngineCommand command, EngineObservation observed,
-			Optional<EngineObservation> keeper) {
+			Optional<Keeper> keeper) {
 		EngineReport report = observed.report().orElseThrow();
 		if (keeper.isEmpty()) {
 			return this.ledger.record(lease, command, report, observed.requestedNanos());
 		}
-		long earlier = Math.min(observed.requestedNanos(), keeper.get().requestedNanos());
-		return this.ledger.recordRemoval(lease, command, report, command.model(), keeper.get().report().orElseThrow(),
+		EngineObservation engine = keeper.get().engine();
+		long earlier = Math.min(observed.requestedNanos(), engine.requestedNanos());
+		return this.ledger.recordRemoval(lease, command, report, keeper.get().model(), engine.report().orElseThrow(),
 				earlier);
 	}
 
@@ -109,4 +111,14 @@
 		this.ledger.sent(command.engine(), command.attempt(), result);
 	}
 
+	/**
+	 * Copy that keeps a model reachable.
+	 *
+	 * @param engine the engine that has it, not null
+	 * @param model the model of the copy, not null
+	 */
+	record Keeper(EngineObservation engine, ModelId model) {
+
+	}
+
 }
--- a/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
+++ b/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
@@ -203,12 +203,13 @@
 
 	private void send(Lease held, Map<BackendServerId, EngineObservation> engines, KeeperChoice keepers,
 			PlacementPlan.Step step) {
-		Optional<BackendServerId> keeper = (step.action().isUnload()) ? keepers.keeper(step) : Optional.empty();
+		Optional<KeeperChoice.Copy> keeper = (step.action().isUnload()) ? keepers.keeper(step) : Optional.empty();
 		if (keepers.isRequired(step) && keeper.isEmpty()) {
 			LOG.warn("removal_without_keeper", "engine", step.engine(), "model", step.model());
 			return;
 		}
-		this.sender.send(held, engines.get(step.engine()), step, keeper.map(engines::get));
+		this.sender.send(held, engines.get(step.engine()), step,
+				keeper.map((copy) -> new CommandSender.Keeper(engines.get(copy.engine()), copy.model())));
 	}
 
 	/** Gives the lease back, so that another planner takes over at once. Blocks. */
--- a/planner/src/test/java/org/celeryhill/planner/GroupPlannerTests.java
+++ b/planner/src/test/java/org/celeryhill/planner/GroupPlannerTests.java
@@ -7,6 +7,7 @@
 
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.ModelId;
+import org.celeryhill.base.RevisionDocument;
 import org.celeryhill.base.VirtualTimerService;
 import org.celeryhill.placement.PlacementPlan;
 import org.celeryhill.placement.PlanInput.EngineState;
@@ -131,12 +132,31 @@
 			.toList();
 		KeeperChoice one = new KeeperChoice(states, context.revisions().revision(), PlannerWorld.SERVICE,
 				both.subList(0, 1));
-		assertThat(one.keeper(both.get(0))).contains(both.get(1).engine());
+		assertThat(one.keeper(both.get(0))).contains(new KeeperChoice.Copy(both.get(1).engine(), model));
 		assertThat(one.isRequired(both.get(0))).isTrue();
 		KeeperChoice two = new KeeperChoice(states, context.revisions().revision(), PlannerWorld.SERVICE, both);
 		assertThat(two.keeper(both.get(0))).isEmpty();
 	}
 
+	// Guards against a version change that never ends or leaves no copy of either
+	// version.
+	@Test
+	void replacesVersion() {
+		PlannerContext context = this.world.context("planner-0");
+		GroupPlanner group = new GroupPlanner(PlannerWorld.SERVICE, context);
+		run(60, group);
+		Map<String, String> files = new java.util.TreeMap<>(PlannerWorld.demo(2).files());
+		files.replaceAll((name, text) -> text.replace("mill-a/grade-report@1", "mill-a/grade-report@2"));
+		context.revisions().apply(new RevisionDocument(2, files));
+		for (int i = 0; i < 120; i++) {
+			run(1, group);
+			assertThat(this.world.ready("mill-a/grade-report@1") + this.world.ready("mill-a/grade-report@2"))
+				.isPositive();
+		}
+		assertThat(this.world.ready("mill-a/grade-report@1")).isZero();
+		assertThat(this.world.ready("mill-a/grade-report@2")).isGreaterThanOrEqualTo(2);
+	}
+
 	private void run(int seconds, GroupPlanner... groups) {
 		for (int i = 0; i < seconds; i++) {
 			this.timer.advance(Duration.ofSeconds(1));
