Follow a late hedge of a claimed call instead of waiting for it

Cause: if the first attempt certainly did not run while a hedge of it was on its way, the hedge was declined and the retry was not sent: the caller waited and the claim stayed running. Change: one flag decides who may send; it is never given back once the claim is being ended. A fault of an adapter counts as unknown for every call. Conclusion: at most one send at a time, and none after the withdrawal.

--- a/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
+++ b/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
@@ -62,7 +62,7 @@
 	/** What the router knows of the call. */
 	private final TrafficRequest traffic;
 
-	/** Set while an attempt may run; the router is never followed then. */
+	/** Set while an attempt may run, and for good once the claim is being ended. */
 	private final AtomicBoolean isSending = new AtomicBoolean();
 
 	/** Backend servers that were tried; only used while {@link #isSending}. */
@@ -83,12 +83,13 @@
 
 	/** Asks for a backend server. */
 	void start() {
-		this.router.offer(this.traffic, this).ifPresent(this::notRun);
+		this.router.offer(this.traffic, this).ifPresent(this::notRunUnlessSending);
 	}
 
 	@Override
 	public void onSend(TrafficAction.Send send) {
-		if (send.isHedge() || !this.isSending.compareAndSet(false, true)) {
+		// A hedge that comes after the first attempt has certainly not run is the retry.
+		if (!this.isSending.compareAndSet(false, true)) {
 			this.router.finish(send.attempt(), AttemptOutcome.CANCELLED);
 			return;
 		}
@@ -107,23 +108,25 @@
 	@Override
 	public void onRefuse(TrafficAction.Refuse refuse) {
 		try {
-			this.context.workers().execute(() -> notRun(refuse));
+			this.context.workers().execute(() -> notRunUnlessSending(refuse));
 		}
 		catch (RejectedExecutionException ex) {
-			this.context.timer().after(Duration.ZERO, () -> notRun(refuse));
+			this.context.timer().after(Duration.ZERO, () -> notRunUnlessSending(refuse));
+		}
+	}
+
+	// Once taken, the right to send is not given back, so that nothing is sent after the
+	// claim was withdrawn.
+	private void notRunUnlessSending(TrafficAction.Refuse refuse) {
+		if (this.isSending.compareAndSet(false, true)) {
+			notRun(refuse);
 		}
 	}
 
 	private void run(TrafficAction.Send send) {
 		this.sends++;
-		PlainService.CallResult result;
-		try {
-			result = this.context.send(send.backend(), PlainHandler.toCall(send.attempt(), this.request.api().id(),
-					this.request.target(), this.request.body()));
-		}
-		catch (RuntimeException ex) {
-			result = new PlainService.CallUnknown("fault of the adapter: " + ex);
-		}
+		PlainService.CallResult result = this.context.send(send.backend(), PlainHandler.toCall(send.attempt(),
+				this.request.api().id(), this.request.target(), this.request.body()));
 		this.router.finish(send.attempt(), IdempotentCall.outcome(result));
 		onResult(send, result);
 	}
@@ -141,7 +144,7 @@
 		}
 		else if (this.sends < MAX_SENDS) {
 			this.isSending.set(false);
-			this.router.retry(this.traffic, send.attempt()).ifPresent(this::notRun);
+			this.router.retry(this.traffic, send.attempt()).ifPresent(this::notRunUnlessSending);
 		}
 		else {
 			notRun(new TrafficAction.Refuse(this.traffic.id(), TrafficAction.Reason.RETRIES_EXHAUSTED, RETRY_AFTER));
--- a/entry/src/main/java/org/celeryhill/entry/PlainContext.java
+++ b/entry/src/main/java/org/celeryhill/entry/PlainContext.java
@@ -49,7 +49,13 @@
 		if (found.isEmpty()) {
 			return new PlainService.NotRun("the backend server is not in the host list");
 		}
-		PlainService.CallResult result = found.get().call(call, this.callTimeout);
+		PlainService.CallResult result;
+		try {
+			result = found.get().call(call, this.callTimeout);
+		}
+		catch (RuntimeException ex) {
+			return new PlainService.CallUnknown("fault of the adapter: " + ex);
+		}
 		if (result instanceof PlainService.Answered answered && !answered.attempt().equals(call.attempt())) {
 			this.metrics.foreignEvent();
 			return new PlainService.CallUnknown("answer to another attempt " + answered.attempt());
