Test that hedges of claimed calls are declined

Cause: the rule that keeps a hedge from sending a booking twice had no test. Change: a traffic controller that hedges every attempt; the booking runs once, a repeatable call runs twice.

--- a/entry/src/test/java/org/celeryhill/entry/ClaimTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/ClaimTests.java
@@ -1,14 +1,20 @@
 package org.celeryhill.entry;
 
+import java.lang.reflect.Proxy;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.BackendServerId;
 import org.celeryhill.fake.FakeTableService;
 import org.celeryhill.fake.Fault;
+import org.celeryhill.traffic.TrafficAction;
+import org.celeryhill.traffic.TrafficController;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -124,6 +130,39 @@
 		assertThat(this.first.post("/v1/services/dispatch/x/../bookings", "{}").statusCode()).isEqualTo(400);
 	}
 
+	/** Guards against a hedge that sends a claimed call a second time. */
+	@Test
+	void hedgesOfClaimedCallsAreDeclined() {
+		this.world.services.values().forEach((one) -> one.setCallTime(java.time.Duration.ofMillis(200)));
+		this.world.controllers = ClaimTests::hedgingAll;
+		TestCaller hedged = new TestCaller(this.world.daemon("entry-3"), TestWorld.KEY_A);
+		assertThat(book(hedged, "k9").statusCode()).isEqualTo(200);
+		TestWorld.sleep(java.time.Duration.ofMillis(400));
+		assertThat(this.world.bookings("k9")).isEqualTo(1);
+		assertThat(hedged.get("/v1/services/dispatch/rolls").statusCode()).isEqualTo(200);
+		TestWorld.await(() -> this.world.services.values().stream().mapToLong((one) -> one.total()).sum() == 3);
+	}
+
+	private static TrafficController hedgingAll(TrafficController inner) {
+		return (TrafficController) Proxy.newProxyInstance(ClaimTests.class.getClassLoader(),
+				new Class<?>[] { TrafficController.class }, (proxy, method, args) -> {
+					Object result = method.invoke(inner, args);
+					return "dispatch".equals(method.getName()) ? withHedges((List<?>) result) : result;
+				});
+	}
+
+	private static List<TrafficAction> withHedges(List<?> actions) {
+		List<TrafficAction> all = new ArrayList<>();
+		for (Object action : actions) {
+			all.add((TrafficAction) action);
+			if (action instanceof TrafficAction.Send send) {
+				all.add(new TrafficAction.Send(send.request(), AttemptId.of("hedge-" + send.attempt()),
+						BackendServerId.of("dispatch-2"), true));
+			}
+		}
+		return all;
+	}
+
 	/** Guards against a key that moves to the other system when the split changes. */
 	@Test
 	void splitChangeDoesNotMoveKey() {
@@ -131,7 +170,7 @@
 		this.world.propose(0);
 		TestWorld.await(() -> {
 			book(this.first, "probe-" + System.nanoTime());
-			return this.world.services.get(org.celeryhill.base.BackendServerId.of("legacy-dispatch")).total() > 0;
+			return this.world.services.get(BackendServerId.of("legacy-dispatch")).total() > 0;
 		});
 		assertThat(book(this.first, "k8").headers().firstValue("Idempotency-Replayed")).hasValue("true");
 		assertThat(this.world.bookings("k8")).isEqualTo(1);
--- a/entry/src/test/java/org/celeryhill/entry/TestWorld.java
+++ b/entry/src/test/java/org/celeryhill/entry/TestWorld.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 import org.celeryhill.base.AttemptId;
@@ -44,6 +45,7 @@
 import org.celeryhill.state.ConfigurationStore;
 import org.celeryhill.state.RetryPolicy;
 import org.celeryhill.traffic.DefaultTrafficController;
+import org.celeryhill.traffic.TrafficController;
 import org.celeryhill.traffic.TrafficTunables;
 import picocli.CommandLine;
 
@@ -79,6 +81,9 @@
 
 	final Map<BackendServerId, PlainService> serviceOverrides = new ConcurrentHashMap<>();
 
+	/** Changes the traffic controllers of daemons that are started afterwards. */
+	UnaryOperator<TrafficController> controllers = UnaryOperator.identity();
+
 	private final List<EntryDaemon> daemons = new ArrayList<>();
 
 	private long head;
@@ -191,7 +196,7 @@
 		DefaultTrafficController traffic = DefaultTrafficController.create(HostId.of(host), DataCentre.of("dc-1"),
 				"test", 1, TrafficTunables.DEFAULTS);
 		EntryDaemon daemon = new EntryDaemon(settings, new Ports(this.timer, this.table, this.objects, this.hosts,
-				new FakeFactory(), traffic, EntryMain.peers(settings, this.timer)));
+				new FakeFactory(), this.controllers.apply(traffic), EntryMain.peers(settings, this.timer)));
 		this.daemons.add(daemon);
 		daemon.start();
 		await(daemon::isReady);
