--- a/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
+++ b/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
@@ -34,7 +34,9 @@
 	/** Client of all tests, so that connections are pooled as in a daemon. */
 	private static final OkHttpClient CLIENT = new OkHttpClient();
 
-	/** Longest wait of the tests that are not about time; a busy machine stays below it. */
+	/**
+	 * Longest wait of the tests that are not about time; a busy machine stays below it.
+	 */
 	private static final Duration LONG = Duration.ofSeconds(20);
 
 	/** Longest wait of the test of a timeout. */
