--- a/placement/src/main/java/org/celeryhill/placement/LoadPhase.java
+++ b/placement/src/main/java/org/celeryhill/placement/LoadPhase.java
@@ -127,7 +127,8 @@
 	private void advanceRooms() {
 		for (EngineView engine : this.round.moves.reserved(this.round.fleet)) {
 			ModelView model = engine.reservedFor;
-			if (!engine.isLoadAllowed(model)) {
+			// An earlier turn may have given this room up.
+			if (model == null || !engine.isLoadAllowed(model)) {
 				continue;
 			}
 			if (engine.freeBytes >= model.spec.bytes()) {
