--- a/fuzz/src/test/java/org/celeryhill/fuzz/PromiseTests.java
+++ b/fuzz/src/test/java/org/celeryhill/fuzz/PromiseTests.java
@@ -170,6 +170,24 @@
 		});
 	}
 
+	/** Guards against a fuzzer that does not notice removals that are not recorded. */
+	@Test
+	void catchesUnrecordedRemoval() {
+		assertCaught("removal sent without a record", () -> new PlacementWorld() {
+			@Override
+			protected CommandLedger.RecordResult recordRemoval(CommandLedger ledger, Lease lease, EngineCommand command,
+					EngineReport report, ModelId kept, EngineReport keeper, long requestedNanos) {
+				return new CommandLedger.Recorded(command);
+			}
+
+			// The fault in KNOWN-RED.txt must not count as catching this variant.
+			@Override
+			protected PlacementPlan plan(PlacementPlanner planner, PlanInput input) {
+				return planOrNothing(() -> super.plan(planner, input));
+			}
+		});
+	}
+
 	/** Guards against a fuzzer that does not notice two planners that remove a model. */
 	@Test
 	void catchesRemovalWithoutKeeper() {
@@ -183,12 +201,7 @@
 			// The fault in KNOWN-RED.txt must not count as catching this variant.
 			@Override
 			protected PlacementPlan plan(PlacementPlanner planner, PlanInput input) {
-				try {
-					return super.plan(planner, input);
-				}
-				catch (NullPointerException ex) {
-					return new PlacementPlan(List.of(), List.of(), Map.of());
-				}
+				return planOrNothing(() -> super.plan(planner, input));
 			}
 		});
 	}
@@ -204,6 +217,15 @@
 		});
 	}
 
+	private static PlacementPlan planOrNothing(Supplier<PlacementPlan> plan) {
+		try {
+			return plan.get();
+		}
+		catch (NullPointerException ex) {
+			return new PlacementPlan(List.of(), List.of(), Map.of());
+		}
+	}
+
 	private static void assertCaught(String variant, Supplier<World> worlds) {
 		FuzzResult result = new FuzzRunner(worlds, CASE).run(SEED, BUDGET, () -> false);
 		System.out.println("variant=\"" + variant + "\" cases=" + result.cases() + " steps=" + result.steps()
