Do not count the lag of the daemon itself as silence of an engine

Its own I/O threads were behind, so that the stall timeout of 5 s fired for streams whose tokens waited unread; they were sent again, which made the daemon slower, and engines became suspect.

--- a/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
@@ -17,6 +17,7 @@
 import org.celeryhill.base.RevisionDocument;
 import org.celeryhill.config.RevisionParser;
 import org.celeryhill.http.HttpServerKit;
+import org.celeryhill.http.IoWorkers;
 import org.celeryhill.peer.Member;
 import org.celeryhill.peer.PeerNode;
 import org.celeryhill.state.AttemptIds;
@@ -124,7 +125,7 @@
 		this.tracker = new BackendTracker(this.backends, this.gate, ports.timer());
 		this.revisions = new RevisionHolder(this.gate, ports.timer(), metrics);
 		this.demand = new DemandMeter(this.revisions::index);
-		this.relays = new LiveRelays(ports.timer());
+		this.relays = new LiveRelays(ports.timer(), IoWorkers.sharedIoThreads());
 		this.tasks = new PeriodicTasks(ports.timer(), this.control);
 		LegacyRouter legacy = new LegacyRouter(this.backends, this.workers, settings.maxLegacyAttempts);
 		GenerationContext generation = new GenerationContext(this.backends::engine, ports.timer(),
--- a/entry/src/main/java/org/celeryhill/entry/LiveRelays.java
+++ b/entry/src/main/java/org/celeryhill/entry/LiveRelays.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.celeryhill.base.EventLog;
@@ -23,14 +24,18 @@
 	/** Log of this class. */
 	private static final EventLog LOG = EventLog.of(LiveRelays.class);
 
+	/** How late this process is. */
+	private final LagProbe lag;
+
 	/** Running generations. */
 	private final Map<RequestId, StreamRelay> relays = new ConcurrentHashMap<>();
 
 	/** Periodic check. */
 	private final Disposable checks;
 
-	LiveRelays(TimerService timer) {
+	LiveRelays(TimerService timer, List<? extends Executor> ioThreads) {
 		Objects.requireNonNull(timer, "timer");
+		this.lag = new LagProbe(timer, ioThreads, CHECK_PERIOD.toNanos());
 		this.checks = timer.ticks(CHECK_PERIOD).subscribe(this::checkTimeouts);
 	}
 
@@ -58,10 +63,12 @@
 		List.copyOf(this.relays.values()).forEach(StreamRelay::handOver);
 	}
 
+	// The lag of this process does not count as silence of an engine.
 	private void checkTimeouts(long now) {
+		long excused = now - this.lag.check(now);
 		for (StreamRelay relay : this.relays.values()) {
 			try {
-				relay.checkTimeouts(now);
+				relay.checkTimeouts(excused);
 			}
 			catch (RuntimeException ex) {
 				LOG.warn("timeout_check_failed", "request", relay.job().id(), "fault", ex);
--- a/http/src/main/java/org/celeryhill/http/IoWorkers.java
+++ b/http/src/main/java/org/celeryhill/http/IoWorkers.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.stream.IntStream;
 
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -32,6 +35,16 @@
 		return Shared.WORKER;
 	}
 
+	/**
+	 * Returns the I/O threads of the shared worker, to measure how late they are.
+	 * @return executors that run tasks on one I/O thread each, never null
+	 */
+	public static List<Executor> sharedIoThreads() {
+		return IntStream.range(0, SHARED_IO_THREADS)
+			.<Executor>mapToObj((number) -> shared().getIoThread(number))
+			.toList();
+	}
+
 	/**
 	 * Starts a worker with daemon threads.
 	 * @param ioThreads the threads that serve connections, positive
