Show peer traffic of entry daemons; keep copies of commands for 60 s

Cause: bin/measure-control needs the bytes that entry daemons send to peers, which only the planner showed. The planner's copy bound was 30 s while the ledger's design and the fuzzer assume 60 s.

--- a/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryDaemon.java
@@ -20,6 +20,7 @@
 import org.celeryhill.http.IoWorkers;
 import org.celeryhill.peer.Member;
 import org.celeryhill.peer.PeerNode;
+import org.celeryhill.peer.ThriftPeerNode;
 import org.celeryhill.state.AttemptIds;
 import org.celeryhill.state.ClaimPolicy;
 import org.celeryhill.state.ClaimStore;
@@ -100,6 +101,9 @@
 	/** Metrics. */
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
+	/** What the metrics show. */
+	private final EntryMetrics metrics;
+
 	/** Exchange with the peers, null when alone. */
 	private PeerExchange peers;
 
@@ -115,7 +119,7 @@
 	EntryDaemon(EntrySettings settings, Ports ports) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.ports = Objects.requireNonNull(ports, "ports");
-		EntryMetrics metrics = new EntryMetrics(this.registry);
+		this.metrics = new EntryMetrics(this.registry);
 		this.writer = ConditionalWriter.create(ports.table(), AttemptIds.random(),
 				RetryPolicy.blocking(ports.timer(), RetryPolicy.DEFAULT_TRIES, STORE_RETRY_DELAY));
 		this.workers = pool("worker", settings.workerThreads);
@@ -123,15 +127,15 @@
 		this.gate = new TrafficGate(ports.traffic(), ports.timer());
 		this.backends = new Backends(ports.backends());
 		this.tracker = new BackendTracker(this.backends, this.gate, ports.timer());
-		this.revisions = new RevisionHolder(this.gate, ports.timer(), metrics);
+		this.revisions = new RevisionHolder(this.gate, ports.timer(), this.metrics);
 		this.demand = new DemandMeter(this.revisions::index);
 		this.relays = new LiveRelays(ports.timer(), IoWorkers.sharedIoThreads());
 		this.tasks = new PeriodicTasks(ports.timer(), this.control);
 		LegacyRouter legacy = new LegacyRouter(this.backends, this.workers, settings.maxLegacyAttempts);
 		GenerationContext generation = new GenerationContext(this.backends::engine, ports.timer(),
-				settings.generationLimits(), metrics, this.demand);
+				settings.generationLimits(), this.metrics, this.demand);
 		PlainContext plain = new PlainContext(this.backends::plain, (system) -> router(system, legacy), this.workers,
-				ports.timer(), settings.callTimeout, metrics);
+				ports.timer(), settings.callTimeout, this.metrics);
 		this.claimStore = ClaimStore.create(this.writer, ports.timer(), new ClaimPolicy(settings.claimTimeout,
 				ClaimPolicy.DEFAULT.epochPeriod(), ClaimPolicy.DEFAULT.retainedEpochs()));
 		this.claims = new ClaimRunner(this.claimStore, plain, settings.claimWait);
@@ -140,7 +144,7 @@
 				new EventIdCodec(settings.eventIdKeys()), (system) -> router(system, legacy), generation, this.relays,
 				settings.apiLimits());
 		this.root = new ApiRoot(this.revisions::index, generations, new PlainHandler(plain, this.claims),
-				settings.apiLimits(), metrics);
+				settings.apiLimits(), this.metrics);
 		this.stops = new StopFollower(PlannedStops.create(this.writer, ports.timer()), this.tracker,
 				HostId.of(settings.hostId), DataCentre.of(settings.dataCentre), this.root::openRequests);
 	}
@@ -177,6 +181,9 @@
 	private void join(PeerNode node) {
 		this.peers = new PeerExchange(node, this.gate, this.revisions, this.ports.timer());
 		this.peers.start();
+		if (node instanceof ThriftPeerNode thrift) {
+			this.metrics.peers(thrift);
+		}
 		this.tasks.add("usage", this.settings.usagePeriod, this.peers::publish);
 	}
 
--- a/entry/src/main/java/org/celeryhill/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryMetrics.java
@@ -1,9 +1,12 @@
 package org.celeryhill.entry;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celeryhill.peer.ThriftPeerNode;
 
 /**
  * Prometheus metrics of the daemon. Thread-safe.
@@ -43,7 +46,11 @@
 	/** Number of the revision in force. */
 	private final Gauge revision;
 
+	/** Registry of all metrics. */
+	private final PrometheusRegistry registry;
+
 	EntryMetrics(PrometheusRegistry registry) {
+		this.registry = registry;
 		this.answers = counter(registry, "entry_answers", "Answers by status and code", "status", "code");
 		this.generations = counter(registry, "entry_generations", "Generations by how they ended", "outcome");
 		this.resumed = counter(registry, "entry_streams_resumed", "Streams resumed on their engine");
@@ -105,6 +112,27 @@
 		this.open.set(requests);
 	}
 
+	/**
+	 * Adds the metrics of the exchange with other processes.
+	 * @param node the node, not null
+	 */
+	void peers(ThriftPeerNode node) {
+		CounterWithCallback.builder()
+			.name("entry_peer_bytes")
+			.help("Bytes of the peer protocol without TCP and IP headers")
+			.labelNames("direction")
+			.callback((callback) -> {
+				callback.call(node.counters().sentBytes(), "sent");
+				callback.call(node.counters().receivedBytes(), "received");
+			})
+			.register(this.registry);
+		GaugeWithCallback.builder()
+			.name("entry_peer_members")
+			.help("Processes that are believed to be alive")
+			.callback((callback) -> callback.call(node.members().size()))
+			.register(this.registry);
+	}
+
 	void revision(long number) {
 		this.revision.set(number);
 	}
--- a/planner/src/main/java/org/celeryhill/planner/PlannerSettings.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerSettings.java
@@ -80,7 +80,7 @@
 			description = "Time after which a command without effect is sent again.")
 	Duration resendAfter;
 
-	@Option(names = "--command-copy-bound", defaultValue = "PT30S",
+	@Option(names = "--command-copy-bound", defaultValue = "PT60S",
 			description = "Longest time that a copy of a command can travel after its sending has ended.")
 	Duration commandCopyBound;
 
