--- a/config/src/main/java/org/celeryhill/config/ClassTarget.java
+++ b/config/src/main/java/org/celeryhill/config/ClassTarget.java
@@ -14,7 +14,7 @@
  * @param value the value of a request within its target, positive
  * @param weight the scheduling weight against the other classes, positive
  * @param floor the part of the organisation's capacity that the class keeps when more
- * urgent classes flood, from 0 to 1
+ * urgent classes are overloaded, from 0 to 1
  */
 public record ClassTarget(Duration firstToken, Duration betweenTokens, Duration deadline, double value, double weight,
 		double floor) {
--- a/entry/src/main/java/org/celeryhill/entry/AnswerFormat.java
+++ b/entry/src/main/java/org/celeryhill/entry/AnswerFormat.java
@@ -100,7 +100,7 @@
 	}
 
 	/**
-	 * Returns the document of a whole answer.
+	 * Returns the document of a complete answer.
 	 * @param text the text, not null
 	 * @param tokens the tokens of the answer
 	 * @param finishReason why it ended, not null
--- a/entry/src/main/java/org/celeryhill/entry/ApiShape.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiShape.java
@@ -14,7 +14,7 @@
 	/** Prefix of the id of an answer. */
 	private final String idPrefix;
 
-	/** Object name of a whole answer. */
+	/** Object name of a complete answer. */
 	private final String wholeObject;
 
 	/** Object name of a part of a streamed answer. */
--- a/entry/src/main/java/org/celeryhill/entry/IdempotentCall.java
+++ b/entry/src/main/java/org/celeryhill/entry/IdempotentCall.java
@@ -15,7 +15,7 @@
 import org.celeryhill.traffic.TrafficRequest;
 
 /**
- * One call of a plain service that may be repeated. The first whole answer counts.
+ * One call of a plain service that may be repeated. The first complete answer counts.
  * Thread-safe; its lock is taken before that of {@link TrafficGate}.
  */
 final class IdempotentCall implements AttemptRouter.Listener {
--- a/entry/src/main/java/org/celeryhill/entry/WholeAnswerSink.java
+++ b/entry/src/main/java/org/celeryhill/entry/WholeAnswerSink.java
@@ -38,7 +38,7 @@
 
 	@Override
 	public void handOver(EventId position) {
-		throw new IllegalStateException("a whole answer cannot be handed over");
+		throw new IllegalStateException("a complete answer cannot be handed over");
 	}
 
 	@Override
--- a/entry/src/test/java/org/celeryhill/entry/StreamTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/StreamTests.java
@@ -58,7 +58,7 @@
 		}
 	}
 
-	/** Guards against a whole answer that differs from the streamed one. */
+	/** Guards against a complete answer that differs from the streamed one. */
 	@Test
 	void wholeAnswerIsComplete() {
 		HttpResponse<String> response = this.caller.post("/v1/completions", TestCaller.body(40, false));
--- a/fake/src/main/java/org/celeryhill/fake/FakeStream.java
+++ b/fake/src/main/java/org/celeryhill/fake/FakeStream.java
@@ -22,7 +22,7 @@
 	/** Value that the token texts are drawn from. */
 	private final long basis;
 
-	/** Tokens of the whole answer. */
+	/** Tokens of the complete answer. */
 	private final int length;
 
 	/** Order of arrival at the engine. */
--- a/fake/src/main/java/org/celeryhill/fake/FakeTokens.java
+++ b/fake/src/main/java/org/celeryhill/fake/FakeTokens.java
@@ -51,7 +51,7 @@
 	/**
 	 * Returns the text of a token.
 	 * @param basis the value from {@link #basis}
-	 * @param offset the offset in the whole answer
+	 * @param offset the offset in the complete answer
 	 * @return the text, never null, never empty
 	 */
 	public static String text(long basis, int offset) {
@@ -70,7 +70,7 @@
 	}
 
 	/**
-	 * Returns the text of a whole answer, for oracles.
+	 * Returns the text of a complete answer, for oracles.
 	 * @param request the request, not null
 	 * @return the text from offset 0 on, never null
 	 */
--- a/http/src/main/java/org/celeryhill/http/ClientSettings.java
+++ b/http/src/main/java/org/celeryhill/http/ClientSettings.java
@@ -7,8 +7,8 @@
  * Limits of the HTTP clients. Immutable and thread-safe.
  *
  * @param connectTimeout the longest wait for a connection, not null, positive
- * @param answerTimeout the longest wait for a whole answer, from the start of the call,
- * not null, positive; it does not apply to streams
+ * @param answerTimeout the longest wait for a complete answer, from the start of the
+ * call, not null, positive; it does not apply to streams
  * @param maxAnswerBytes the largest answer that is read, in bytes, positive
  */
 public record ClientSettings(Duration connectTimeout, Duration answerTimeout, int maxAnswerBytes) {
--- a/http/src/main/java/org/celeryhill/http/HttpExchange.java
+++ b/http/src/main/java/org/celeryhill/http/HttpExchange.java
@@ -76,7 +76,7 @@
 	}
 
 	/**
-	 * Sends a request and reads the whole answer.
+	 * Sends a request and reads the complete answer.
 	 * @param builder the request, not null
 	 * @return the outcome, never null
 	 */
--- a/http/src/test/java/org/celeryhill/http/EngineStreamTests.java
+++ b/http/src/test/java/org/celeryhill/http/EngineStreamTests.java
@@ -57,7 +57,7 @@
 		}
 	}
 
-	// A stream that just ends must not pass for a whole answer.
+	// A stream that just ends must not pass for a complete answer.
 	@Test
 	void missingEndMarkerIsBroken() throws IOException {
 		assertFailsAfterToken("", Failure.BROKEN);
@@ -123,7 +123,7 @@
 		}
 	}
 
-	// A slow caller must not make the client buffer the whole answer, nor lose events.
+	// A slow caller must not make the client buffer the complete answer, nor lose events.
 	@Test
 	void noMoreThanRequestedIsDelivered() throws Exception {
 		int count = 1000;
--- a/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
+++ b/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
@@ -77,9 +77,9 @@
 		}
 	}
 
-	// A cut-off body taken for a whole answer would be a truncated response.
+	// A truncated body taken for a complete answer would be a truncated response.
 	@Test
-	void cutOffBodyIsUnknown() throws IOException {
+	void truncatedBodyIsUnknown() throws IOException {
 		try (RawServer server = RawServer.start((connection) -> {
 			connection.readRequest();
 			connection.write("HTTP/1.1 200 x\r\nContent-Length: 10\r\n\r\nhalf");
--- a/measure/src/main/java/org/celeryhill/measure/Job.java
+++ b/measure/src/main/java/org/celeryhill/measure/Job.java
@@ -31,7 +31,7 @@
 	/** Prompt tokens. */
 	final int prompt;
 
-	/** Tokens that the whole answer has. */
+	/** Tokens that the complete answer has. */
 	final int output;
 
 	/** Tokens that the caller allows. */
@@ -129,7 +129,7 @@
 	/** How a job ended for its caller. */
 	enum Outcome {
 
-		/** The whole answer arrived. */
+		/** The complete answer arrived. */
 		COMPLETED,
 
 		/** It was refused and has not run. */
--- a/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
+++ b/planner/src/main/java/org/celeryhill/planner/GroupPlanner.java
@@ -61,6 +61,12 @@
 	/** Latest plan, for the dump. */
 	private volatile PlacementPlan plan = new PlacementPlan(List.of(), List.of(), Map.of());
 
+	/** Questions for the lease. */
+	private long bids;
+
+	/** When this process last asked for the lease, in monotonic nanoseconds. */
+	private long latestBidNanos;
+
 	/** Rounds that were planned. */
 	private volatile long rounds;
 
@@ -100,6 +106,9 @@
 	private boolean renew() {
 		LeaseStore leases = this.context.leases();
 		if (this.lease.isEmpty()) {
+			if (!isBidDue()) {
+				return false;
+			}
 			if (leases.acquire(LeaseName.of(this.service)) instanceof LeaseStore.Granted granted) {
 				this.lease = Optional.of(granted.lease());
 				this.planner = ReplicaPlacementPlanner.create();
@@ -125,6 +134,19 @@
 		return isLeaseUsable();
 	}
 
+	// A planner without the lease asks for it once in a third of its duration: each
+	// question is a read of the table service, and all planners ask.
+	private boolean isBidDue() {
+		long now = this.context.timer().nanoTime();
+		boolean isDue = this.bids == 0
+				|| now - this.latestBidNanos >= this.context.settings().leaseDuration.toNanos() / 3;
+		if (isDue) {
+			this.bids++;
+			this.latestBidNanos = now;
+		}
+		return isDue;
+	}
+
 	private boolean isLeaseUsable() {
 		return this.lease.filter((held) -> held.isUsable(this.context.timer().nanoTime())).isPresent();
 	}
--- a/port/src/main/java/org/celeryhill/port/GenerateEvent.java
+++ b/port/src/main/java/org/celeryhill/port/GenerateEvent.java
@@ -20,7 +20,7 @@
 	 * One token.
 	 *
 	 * @param attempt the attempt, not null
-	 * @param offset the position in the whole answer, starting at 0
+	 * @param offset the position in the complete answer, starting at 0
 	 * @param text the text of the token, not null
 	 */
 	record Token(AttemptId attempt, int offset, String text) implements GenerateEvent {
@@ -37,7 +37,7 @@
 	 * The end marker.
 	 *
 	 * @param attempt the attempt, not null
-	 * @param tokens the number of tokens of the whole answer
+	 * @param tokens the number of tokens of the complete answer
 	 * @param finishReason {@code stop} or {@code length}, not null
 	 */
 	record End(AttemptId attempt, int tokens, String finishReason) implements GenerateEvent {
--- a/port/src/main/java/org/celeryhill/port/GenerateRequest.java
+++ b/port/src/main/java/org/celeryhill/port/GenerateRequest.java
@@ -17,7 +17,7 @@
  * null, empty for a new answer
  * @param continuationTokens the number of tokens in the continuation; the first token of
  * the answer has this offset
- * @param maxTokens the most tokens of the whole answer, the continuation included
+ * @param maxTokens the most tokens of the complete answer, the continuation included
  * @param seed the sampling seed, the same for all attempts of one request
  * @param priority the priority that the engine honours, not null
  */
--- a/port/src/main/java/org/celeryhill/port/PlainService.java
+++ b/port/src/main/java/org/celeryhill/port/PlainService.java
@@ -20,7 +20,7 @@
 	BackendServerId id();
 
 	/**
-	 * Sends one call and waits for the whole answer.
+	 * Sends one call and waits for the complete answer.
 	 * @param call the call, not null
 	 * @param timeout the longest wait, not null
 	 * @return the outcome
--- a/standin/src/main/java/org/celeryhill/standin/LoadResults.java
+++ b/standin/src/main/java/org/celeryhill/standin/LoadResults.java
@@ -27,7 +27,7 @@
 	/** Delay of starts behind their schedule, in microseconds. */
 	private final Histogram startDelay = new ConcurrentHistogram(MAX_MICROS, 3);
 
-	/** Whole answers. */
+	/** Complete answers. */
 	private final LongAdder whole = new LongAdder();
 
 	/** Answers that ended without an end marker or with a wrong number of tokens. */
--- a/standin/src/main/java/org/celeryhill/standin/LoadStream.java
+++ b/standin/src/main/java/org/celeryhill/standin/LoadStream.java
@@ -17,7 +17,7 @@
 	/** Results that this stream adds to. */
 	private final LoadResults results;
 
-	/** Tokens that a whole answer has. */
+	/** Tokens that a complete answer has. */
 	private final int expectedTokens;
 
 	/** Time at which the request should have been sent, monotonic nanoseconds. */
--- a/system-test/src/test/java/org/celeryhill/systemtest/Caller.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/Caller.java
@@ -219,7 +219,7 @@
 		private int resumes;
 
 		/** Whether the end marker arrived. */
-		private boolean isWhole;
+		private boolean isComplete;
 
 		private void take(String event, String id, String data) throws IOException {
 			if (event.equals("error")) {
@@ -231,7 +231,7 @@
 				return;
 			}
 			if (data.equals("[DONE]")) {
-				this.isWhole = true;
+				this.isComplete = true;
 				return;
 			}
 			this.text.append(JSON.readTree(data).at("/choices/0/delta/content").asText(""));
@@ -241,11 +241,11 @@
 		}
 
 		boolean isEnded() {
-			return this.isWhole || !this.errors.isEmpty();
+			return this.isComplete || !this.errors.isEmpty();
 		}
 
-		boolean isWhole() {
-			return this.isWhole;
+		boolean isComplete() {
+			return this.isComplete;
 		}
 
 		String text() {
@@ -262,7 +262,7 @@
 
 		@Override
 		public String toString() {
-			return "whole=" + this.isWhole + " characters=" + this.text.length() + " breaks=" + this.breaks
+			return "complete=" + this.isComplete + " characters=" + this.text.length() + " breaks=" + this.breaks
 					+ " resumes=" + this.resumes + " refusals=" + this.refusals + " errors=" + this.errors;
 		}
 
--- a/system-test/src/test/java/org/celeryhill/systemtest/DaemonFailureTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/DaemonFailureTests.java
@@ -35,7 +35,7 @@
 			Thread.sleep(3000);
 			load.finish();
 			load.report("killed entry daemon");
-			load.assertAnswersWhole();
+			load.assertAnswersComplete();
 			load.assertBookingsTruthful();
 			assertThat(load.bookings("ran")).isPositive();
 			assertThat(fleet.standins().overcommittedBytes()).isZero();
@@ -60,7 +60,7 @@
 			}
 			load.finish();
 			load.report("rolling replacement");
-			load.assertAnswersWhole();
+			load.assertAnswersComplete();
 			load.assertBookingsTruthful();
 			assertThat(load.bookings("unknown")).as("bookings with unknown outcome").isZero();
 			assertThat(load.bookings("broken")).as("bookings without an answer").isZero();
@@ -80,13 +80,13 @@
 			Thread.sleep(1000);
 			fleet.standins().setDown("table", true);
 			Caller.Answer during = fleet.caller("mill-a-key").stream("mill-a/furnish@1", "during the outage", 10);
-			assertThat(during.isWhole()).as(during.toString()).isTrue();
+			assertThat(during.isComplete()).as(during.toString()).isTrue();
 			Thread.sleep(Duration.ofSeconds(OUTAGE_SECONDS).toMillis());
 			fleet.standins().setDown("table", false);
 			Thread.sleep(2000);
 			load.finish();
 			load.report("table outage of " + OUTAGE_SECONDS + " s");
-			load.assertAnswersWhole();
+			load.assertAnswersComplete();
 			load.assertBookingsTruthful();
 			assertThat(load.bookings("ran")).isPositive();
 		}
@@ -108,7 +108,7 @@
 			}
 			load.finish();
 			load.report("paused planner");
-			load.assertAnswersWhole();
+			load.assertAnswersComplete();
 			assertThat(fleet.standins().overcommittedBytes()).isZero();
 		}
 	}
--- a/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
@@ -215,7 +215,7 @@
 		for (String key : List.of("mill-a", "mill-b")) {
 			for (String model : List.of("/furnish@1", "/grade-report@1")) {
 				Caller.Answer answer = caller(key + "-key").stream(key + model, "warm up", 1);
-				if (!answer.isWhole()) {
+				if (!answer.isComplete()) {
 					throw new IllegalStateException(key + model + " is not reachable: " + answer + logs());
 				}
 			}
--- a/system-test/src/test/java/org/celeryhill/systemtest/PlannedStopTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/PlannedStopTests.java
@@ -37,7 +37,7 @@
 			Thread.sleep(2000);
 			load.finish();
 			load.report("planned stop of an engine");
-			load.assertAnswersWhole();
+			load.assertAnswersComplete();
 			assertThat(fleet.standins().overcommittedBytes()).isZero();
 		}
 	}
@@ -55,7 +55,7 @@
 			assertThat(fleet.standins().startedStreams("beater-llm-2")).isEqualTo(started);
 			load.finish();
 			load.report("leaving server");
-			load.assertAnswersWhole();
+			load.assertAnswersComplete();
 		}
 	}
 
--- a/system-test/src/test/java/org/celeryhill/systemtest/WholePathSteps.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/WholePathSteps.java
@@ -58,9 +58,9 @@
 	}
 
 	/** Checks the answer. */
-	@Then("the answer is whole")
-	public void answerIsWhole() {
-		assertThat(this.answer.isWhole()).as(this.answer.toString()).isTrue();
+	@Then("the answer is complete")
+	public void answerIsComplete() {
+		assertThat(this.answer.isComplete()).as(this.answer.toString()).isTrue();
 		assertThat(this.answer.text()).isNotBlank();
 	}
 
--- a/system-test/src/test/java/org/celeryhill/systemtest/Workload.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/Workload.java
@@ -41,7 +41,7 @@
 	/** Outcome of each booking by idempotency key. */
 	private final Map<String, Caller.Booking> bookings = new ConcurrentHashMap<>();
 
-	/** Whole answer of each model, from an undisturbed run. */
+	/** Complete answer of each model, from an undisturbed run. */
 	private final Map<String, String> expected = new ConcurrentHashMap<>();
 
 	/** Callers that run. */
@@ -52,7 +52,7 @@
 		this.tokens = tokens;
 		for (String model : MODELS) {
 			Caller.Answer answer = stream(model);
-			assertThat(answer.isWhole()).as("undisturbed answer of " + model + ": " + answer).isTrue();
+			assertThat(answer.isComplete()).as("undisturbed answer of " + model + ": " + answer).isTrue();
 			this.expected.put(model, answer.text());
 		}
 	}
@@ -82,7 +82,7 @@
 	}
 
 	private Caller.Answer check(String model, Caller.Answer answer) {
-		if (answer.isWhole() && !answer.text().equals(this.expected.get(model))) {
+		if (answer.isComplete() && !answer.text().equals(this.expected.get(model))) {
 			throw new AssertionError("another answer than undisturbed from " + model + ": " + answer.text()
 					+ " expected: " + this.expected.get(model));
 		}
@@ -138,10 +138,10 @@
 		}
 	}
 
-	/** Fails unless every streamed answer arrived whole. */
-	void assertAnswersWhole() {
-		List<Caller.Answer> cut = this.answers.stream().filter((answer) -> !answer.isWhole()).toList();
-		assertThat(cut).as("answers that are not whole, of " + this.answers.size()).isEmpty();
+	/** Fails unless every streamed answer arrived complete. */
+	void assertAnswersComplete() {
+		List<Caller.Answer> cut = this.answers.stream().filter((answer) -> !answer.isComplete()).toList();
+		assertThat(cut).as("answers that are not complete, of " + this.answers.size()).isEmpty();
 	}
 
 	/** Fails if any booking ran twice or against what its caller was told. */
@@ -178,8 +178,8 @@
 	void report(String test) {
 		int resumes = this.answers.stream().mapToInt(Caller.Answer::resumes).sum();
 		int refusals = this.answers.stream().mapToInt((answer) -> answer.refusals().size()).sum();
-		System.out.println("system-test " + test + ": answers=" + this.answers.size() + " whole="
-				+ this.answers.stream().filter(Caller.Answer::isWhole).count() + " resumes=" + resumes + " refusals="
+		System.out.println("system-test " + test + ": answers=" + this.answers.size() + " complete="
+				+ this.answers.stream().filter(Caller.Answer::isComplete).count() + " resumes=" + resumes + " refusals="
 				+ refusals + " bookings=" + this.bookings.size() + " ran=" + bookings("ran") + " unknown="
 				+ bookings("unknown") + " not_run=" + bookings("not_run") + " broken=" + bookings("broken"));
 	}
--- a/system-test/src/test/resources/features/whole-path.feature
+++ b/system-test/src/test/resources/features/whole-path.feature
@@ -5,9 +5,9 @@
 
   Scenario: An organisation is served and a non-idempotent call runs once
     When organisation "mill-a" streams 20 tokens from "mill-a/furnish@1"
-    Then the answer is whole
+    Then the answer is complete
     When organisation "mill-b" streams 20 tokens from "mill-b/line-1@1"
-    Then the answer is whole
+    Then the answer is complete
     When organisation "mill-a" books with key "lot-7" through every entry daemon
     Then every caller is told that the call ran
     And the call with key "lot-7" ran once
--- a/traffic/src/main/java/org/celeryhill/traffic/AttemptOutcome.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/AttemptOutcome.java
@@ -5,7 +5,7 @@
  */
 public enum AttemptOutcome {
 
-	/** The whole answer arrived. */
+	/** The complete answer arrived. */
 	COMPLETED,
 
 	/** The backend server refused before running it. */
