Answer a request head that is too long with an error document

Cause: trying the API as a new user, a header of 20 kB got status 400 without a body, where every other mistake says what to do.

Change: heads are read up to four times their limit; one over the limit gets 431 head_too_large, not_run, and the connection is closed. The test of oversized headers now also expects that document.

--- a/entry/src/main/java/org/celeryhill/entry/ApiRoot.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiRoot.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.Execution;
 import org.celeryhill.base.ModelId;
@@ -86,6 +87,7 @@
 		});
 		try {
 			admit(count);
+			checkHead(exchange);
 			route(api, exchange);
 		}
 		catch (ApiException ex) {
@@ -109,6 +111,20 @@
 		}
 	}
 
+	private void checkHead(HttpServerExchange exchange) throws ApiException {
+		long bytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+		for (HeaderValues values : exchange.getRequestHeaders()) {
+			for (String value : values) {
+				bytes += values.getHeaderName().length() + value.length();
+			}
+		}
+		if (bytes > this.limits.maxHeaderBytes()) {
+			exchange.setPersistent(false);
+			throw ApiException.notRun(ErrorCode.HEAD_TOO_LARGE,
+					"Path and headers may have at most " + this.limits.maxHeaderBytes() + " bytes; send less.");
+		}
+	}
+
 	private void route(ApiExchange api, HttpServerExchange exchange) throws ApiException {
 		String path = exchange.getRequestPath();
 		CallerIndex current = this.index.get();
--- a/entry/src/main/java/org/celeryhill/entry/ApiServer.java
+++ b/entry/src/main/java/org/celeryhill/entry/ApiServer.java
@@ -14,6 +14,12 @@
  */
 final class ApiServer implements AutoCloseable {
 
+	/**
+	 * Heads are read up to this multiple of their limit, so that one that is somewhat too
+	 * long gets an error document; a longer one gets status 400 without a body.
+	 */
+	private static final int HEAD_READ_FACTOR = 4;
+
 	/** Most headers of a request. */
 	private static final int MAX_HEADERS = 64;
 
@@ -44,7 +50,7 @@
 			.addHttpListener(port, address)
 			.setIoThreads(ioThreads)
 			.setWorkerThreads(1)
-			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, HEAD_READ_FACTOR * limits.maxHeaderBytes())
 			.setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
 			.setServerOption(UndertowOptions.MAX_PARAMETERS, MAX_PARAMETERS)
 			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, Math.toIntExact(limits.bodyTimeout().toMillis()))
--- a/entry/src/main/java/org/celeryhill/entry/ErrorCode.java
+++ b/entry/src/main/java/org/celeryhill/entry/ErrorCode.java
@@ -51,6 +51,9 @@
 	/** The body is longer than the limit. */
 	BODY_TOO_LARGE(413),
 
+	/** The request head is too long. */
+	HEAD_TOO_LARGE(431),
+
 	/** The idempotency key was used before with another request. */
 	IDEMPOTENCY_KEY_REUSED(422),
 
--- a/entry/src/test/java/org/celeryhill/entry/InputTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/InputTests.java
@@ -90,7 +90,9 @@
 	/** Guards against unbounded memory for a request head. */
 	@Test
 	void oversizedHeadersAreRejected() throws IOException {
-		assertThat(raw(head("X-Long: " + "x".repeat(8000)), false)).doesNotContain(" 200 ");
+		assertThat(raw(head("X-Long: " + "x".repeat(8000)), false)).doesNotContain(" 200 ")
+			.contains(" 431 ")
+			.contains("head_too_large");
 		assertThat(this.caller.get("/v1/models").statusCode()).isEqualTo(200);
 	}
 
