Check a proposed revision against the fleet

Cause: a revision whose models cannot all fit was accepted without a word; the design asks for a report when it is proposed.

--- a/cli/src/main/java/org/celeryhill/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/celeryhill/cli/ApplyCommand.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
+import org.celeryhill.base.Finding;
 import org.celeryhill.base.RevisionDocument;
 import org.celeryhill.config.ParsedRevision;
+import org.celeryhill.config.Revision;
 import org.celeryhill.config.RevisionParser;
 import org.celeryhill.state.ConfigurationStore;
 import org.celeryhill.state.StoreUnavailable;
@@ -32,6 +34,11 @@
 					+ "change in between is reported as a conflict. Default: the current revision.")
 	private Long expected;
 
+	/** Whether models that fit nowhere are accepted. */
+	@Option(names = "--allow-unplaceable",
+			description = "Accepts models that no engine has memory for; they stay unreachable until there is.")
+	private boolean isUnplaceableAllowed;
+
 	/** Operator for the history. */
 	@Option(names = "--author", defaultValue = "${sys:user.name}", description = "Operator, for the history.")
 	private String author;
@@ -45,6 +52,11 @@
 			fail("the files have errors; nothing was changed");
 			return ExitCode.INVALID;
 		}
+		if (!isFitting(parsed.revision().get())) {
+			fail("models do not fit the fleet; nothing was changed. Add engines or memory, or repeat with "
+					+ "--allow-unplaceable");
+			return ExitCode.REFUSED;
+		}
 		ConfigurationStore store = stores().configuration();
 		OptionalLong head = expectedHead(store);
 		if (head.isEmpty()) {
@@ -53,6 +65,15 @@
 		return report(store.propose(document, head.getAsLong(), this.author), head.getAsLong());
 	}
 
+	private boolean isFitting(Revision revision) {
+		List<Finding> findings = stores().hosts()
+			.map((entries) -> FleetCheck.check(revision, entries, stores()::engine))
+			.orElseGet(() -> List.of(Finding.warning("host list", 0, "",
+					"not reachable or --host-list-url not given; the models were not checked against the fleet")));
+		printFindings(findings);
+		return this.isUnplaceableAllowed || findings.stream().noneMatch(Finding::isError);
+	}
+
 	private OptionalLong expectedHead(ConfigurationStore store) {
 		if (this.expected != null) {
 			return OptionalLong.of(this.expected);
--- a/cli/src/main/java/org/celeryhill/cli/StoreConnection.java
+++ b/cli/src/main/java/org/celeryhill/cli/StoreConnection.java
@@ -9,9 +9,11 @@
 import org.celeryhill.base.TimerService;
 import org.celeryhill.config.RevisionParser;
 import org.celeryhill.http.ClientSettings;
+import org.celeryhill.http.HttpEngine;
 import org.celeryhill.http.HttpHostList;
 import org.celeryhill.http.HttpObjectService;
 import org.celeryhill.http.HttpTableService;
+import org.celeryhill.port.Engine;
 import org.celeryhill.port.HostList;
 import org.celeryhill.port.TableService;
 import org.celeryhill.state.AttemptIds;
@@ -79,6 +81,15 @@
 				: Optional.empty();
 	}
 
+	/**
+	 * Returns the adapter of an engine.
+	 * @param entry the engine in the host list
+	 * @return the adapter
+	 */
+	Engine engine(HostList.Entry entry) {
+		return HttpEngine.create(entry.id(), entry.address(), this.client, ClientSettings.defaults());
+	}
+
 	/**
 	 * Ends idle connections, so that the process can exit at once.
 	 */
--- a/cli/src/test/java/org/celeryhill/cli/CeleryhillMainTests.java
+++ b/cli/src/test/java/org/celeryhill/cli/CeleryhillMainTests.java
@@ -38,6 +38,8 @@
 
 	private static List<String> stores;
 
+	private static String hostList;
+
 	@BeforeAll
 	static void startStandins() throws IOException, InterruptedException {
 		Path addresses = directory.resolve("addresses");
@@ -52,6 +54,7 @@
 			.stream()
 			.map((line) -> line.split("=", 2))
 			.collect(Collectors.toMap((parts) -> parts[0], (parts) -> parts[1]));
+		hostList = uris.get("hosts");
 		stores = List.of("--table-url", uris.get("table"), "--object-url", uris.get("object"));
 	}
 
@@ -132,6 +135,24 @@
 			.contains("CANCELLED");
 	}
 
+	/** Guards against an accepted model that no engine has memory for. */
+	@Test
+	@Order(5)
+	void modelThatFitsNowhereIsRefused() throws IOException {
+		Path files = Files.createDirectories(directory.resolve("large"));
+		for (String name : List.of("beater-llm.yaml", "dispatch.yaml", "mill-a.yaml")) {
+			Files.writeString(files.resolve(name),
+					Files.readString(Path.of(DEMO, name)).replace("size: 16GiB", "size: 900GiB"));
+		}
+		Result refused = runWithStores("apply", files.toString(), "--host-list-url", hostList, "--expect", "1");
+		assertThat(refused.status()).isEqualTo(1);
+		assertThat(refused.err()).contains("mill-a/furnish@1").contains("nothing was changed");
+		assertThat(runWithStores("history", "--output", "json").out()).doesNotContain("\"revision\" : 2");
+		Result allowed = runWithStores("apply", files.toString(), "--host-list-url", hostList, "--expect", "1",
+				"--allow-unplaceable");
+		assertThat(allowed.status()).isZero();
+	}
+
 	/** Guards against a store outage that looks like success. */
 	@Test
 	@Order(6)
