Serve requests on the platform through an edge daemon

Cause: the program spoke only its own interface; the platform has its own names for services, operators and engines. Change: modules forward (data path), platform (adapter) and edge (process); logs go to standard output on a thread of their own. Existing admission and routing decide; placement is not connected yet.

--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -0,0 +1,191 @@
+package org.celeryhill.edge;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.Finding;
+import org.celeryhill.base.HostId;
+import org.celeryhill.forward.BackendClient;
+import org.celeryhill.forward.Forwarder;
+import org.celeryhill.forward.FrontServer;
+import org.celeryhill.forward.RoutingTable;
+import org.celeryhill.forward.ServerEntry;
+import org.celeryhill.platform.ConfigurationCodec;
+import org.celeryhill.platform.PlatformCalls;
+import org.celeryhill.platform.PlatformHeaders;
+import org.celeryhill.platform.StoreClient;
+import org.celeryhill.platform.StoreFeed;
+import org.celeryhill.traffic.DefaultTrafficController;
+import org.celeryhill.traffic.TrafficController;
+import org.celeryhill.traffic.TrafficTunables;
+
+/**
+ * One edge daemon. Its data path runs on one event loop; {@link #start()} and
+ * {@link #stop} may be called from any thread.
+ */
+final class EdgeDaemon {
+
+	private static final EventLog LOG = EventLog.of(EdgeDaemon.class);
+
+	private static final String OPERATOR_TABLE = "op";
+
+	private static final String CONFIGURATION_KEY = "config";
+
+	private static final long HOUSEKEEPING_MS = 500;
+
+	/** Time after SIGTERM in which the balancer notices that this host is not ready. */
+	private static final Duration BALANCER_DELAY = Duration.ofMillis(3500);
+
+	/** Part of the grace period that is left for the end of the process. */
+	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
+
+	/** Of the second sends that are allowed, the part that this host takes. */
+	private static final double RETRY_SHARE = 0.5;
+
+	private final EdgeSettings settings;
+
+	private final EventLoop loop;
+
+	private final BackendClient client;
+
+	private final Forwarder forwarder;
+
+	private final FrontServer front;
+
+	private final FrontServer ready;
+
+	private final FrontServer operations;
+
+	private final StoreClient store;
+
+	private final EdgeMetrics metrics = new EdgeMetrics();
+
+	private final TrafficController traffic;
+
+	private boolean isStopping;
+
+	private long stopNanos;
+
+	private EdgeDaemon(EdgeSettings settings) {
+		this.settings = settings;
+		this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+		this.client = BackendClient.create(this.loop);
+		TrafficTunables tunables = new TrafficTunables(24, 4000, 0, settings.retryRatio * RETRY_SHARE,
+				Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(30), 1024);
+		this.traffic = DefaultTrafficController.create(HostId.of(settings.hostId), DataCentre.of(settings.dataCentre),
+				UUID.randomUUID().toString().substring(0, 8), settings.hostId.hashCode(), tunables);
+		this.forwarder = Forwarder.create(this.loop, this.client, new PlatformHeaders(), this.traffic, this.metrics);
+		this.front = FrontServer.create(this.loop, this.forwarder);
+		OperationalHandler readiness = new OperationalHandler(this::isReady, Map.of());
+		OperationalHandler pages = new OperationalHandler(this::isReady,
+				Map.of("/metrics", this.metrics::toText, "/state", this::dump));
+		this.ready = FrontServer.create(this.loop, readiness);
+		this.operations = FrontServer.create(this.loop, pages);
+		this.store = StoreClient.create(PlatformCalls.create(this.loop, this.client), settings.storeAddress());
+	}
+
+	static EdgeDaemon create(EdgeSettings settings) {
+		return new EdgeDaemon(settings);
+	}
+
+	void start() throws InterruptedException {
+		LOG.info("edge_starting", "host", this.settings.hostId, "data_centre", this.settings.dataCentre, "front",
+				this.settings.front, "store", this.settings.store);
+		StoreFeed.start(this.store, this.loop, OPERATOR_TABLE, new ConfigurationListener());
+		StoreFeed.start(this.store, this.loop, HostListFollower.TABLE,
+				new HostListFollower(this.loop, this.forwarder.directory()));
+		this.front.listen(this.settings.frontAddress()).sync();
+		this.ready.listen(this.settings.readyAddress()).sync();
+		this.operations.listen(this.settings.metricsAddress()).sync();
+		this.loop.scheduleAtFixedRate(this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+		LOG.info("edge_started", "host", this.settings.hostId);
+	}
+
+	private boolean isReady() {
+		return !this.isStopping && this.forwarder.table().isPresent();
+	}
+
+	private void housekeep() {
+		Set<BackendClient.PoolKey> used = new HashSet<>();
+		used.add(new BackendClient.PoolKey(this.settings.storeAddress(), "store"));
+		for (ServerEntry entry : this.forwarder.directory().entries()) {
+			used.add(new BackendClient.PoolKey(entry.address(), entry.id().value() + "@" + entry.incarnation()));
+		}
+		this.client.closeIdle(used::contains);
+		this.front.closeExpired();
+		this.ready.closeExpired();
+		this.operations.closeExpired();
+	}
+
+	private byte[] dump() {
+		return String.valueOf(this.traffic.dump()).getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Stops gracefully: the balancer is told first, then running requests end.
+	 * @param done called when the process may exit
+	 */
+	void stop(Runnable done) {
+		this.loop.execute(() -> {
+			if (this.isStopping) {
+				return;
+			}
+			this.isStopping = true;
+			this.stopNanos = System.nanoTime();
+			LOG.info("edge_stopping", "host", this.settings.hostId, "active", this.forwarder.activeCount());
+			this.front.startStopping();
+			this.loop.scheduleAtFixedRate(() -> stopWhenIdle(done), HOUSEKEEPING_MS / 10, HOUSEKEEPING_MS / 10,
+					TimeUnit.MILLISECONDS);
+		});
+	}
+
+	private void stopWhenIdle(Runnable done) {
+		long elapsed = System.nanoTime() - this.stopNanos;
+		boolean isNoticed = elapsed > BALANCER_DELAY.toNanos();
+		boolean isOver = elapsed > this.settings.grace().minus(EXIT_RESERVE).toNanos();
+		if (!isOver && (!isNoticed || this.forwarder.activeCount() > 0)) {
+			return;
+		}
+		LOG.info("edge_stopped", "host", this.settings.hostId, "abandoned", this.forwarder.activeCount());
+		this.forwarder.abandonAll();
+		this.front.closeIdle();
+		this.loop.schedule(done, HOUSEKEEPING_MS / 10, TimeUnit.MILLISECONDS);
+	}
+
+	private final class ConfigurationListener implements StoreFeed.Listener {
+
+		@Override
+		public void changed(StoreClient.StoredRow row) {
+			if (!row.key().equals(CONFIGURATION_KEY)) {
+				return;
+			}
+			List<Finding> findings = new ArrayList<>();
+			Optional<RoutingTable> table = ConfigurationCodec.decode(row.value(), findings);
+			findings.forEach(
+					(finding) -> LOG.warn("configuration_finding", "row_version", row.version(), "finding", finding));
+			if (table.isPresent() && !EdgeDaemon.this.forwarder.apply(table.get())) {
+				LOG.info("configuration_ignored", "version", table.get().version(), "row_version", row.version());
+			}
+		}
+
+		@Override
+		public void removed(String key, long version) {
+			LOG.warn("operator_row_removed", "key", key, "version", version);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeMetrics.java
@@ -0,0 +1,100 @@
+package org.celeryhill.edge;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celeryhill.forward.ForwardMetrics;
+
+/**
+ * Metrics of an edge daemon. Thread-safe.
+ */
+final class EdgeMetrics implements ForwardMetrics {
+
+	private static final double[] LATENCY_BOUNDS = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.5, 3, 6, 10,
+			15 };
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter refused = Counter.builder()
+		.name("celeryhill_requests_refused_total")
+		.help("Requests that ended without being offered to a backend server.")
+		.labelNames("reason")
+		.register(this.registry);
+
+	private final Counter sent = Counter.builder()
+		.name("celeryhill_sends_total")
+		.help("Sends of requests to backend servers.")
+		.labelNames("order")
+		.register(this.registry);
+
+	private final Histogram ended = Histogram.builder()
+		.name("celeryhill_request_seconds")
+		.help("Time from the head of a request to the end of its answer; status 0 is a broken answer.")
+		.labelNames("status")
+		.classicOnly()
+		.classicUpperBounds(LATENCY_BOUNDS)
+		.register(this.registry);
+
+	private final Histogram firstEvent = Histogram.builder()
+		.name("celeryhill_first_event_seconds")
+		.help("Time from the head of a request to the first event of its stream.")
+		.classicOnly()
+		.classicUpperBounds(LATENCY_BOUNDS)
+		.register(this.registry);
+
+	private final Counter commands = Counter.builder()
+		.name("celeryhill_engine_commands_total")
+		.help("Commands sent to engines.")
+		.labelNames("action", "result")
+		.register(this.registry);
+
+	private final Gauge lease = Gauge.builder()
+		.name("celeryhill_lease_held")
+		.help("1 while this host holds the placement lease.")
+		.register(this.registry);
+
+	@Override
+	public void refused(String reason) {
+		this.refused.labelValues(reason).inc();
+	}
+
+	@Override
+	public void sent(boolean isFirst) {
+		this.sent.labelValues(isFirst ? "first" : "again").inc();
+	}
+
+	@Override
+	public void ended(int status, double seconds) {
+		this.ended.labelValues(Integer.toString(status)).observe(seconds);
+	}
+
+	@Override
+	public void firstEvent(double seconds) {
+		this.firstEvent.observe(seconds);
+	}
+
+	void command(String action, String result) {
+		this.commands.labelValues(action, result).inc();
+	}
+
+	void leaseHeld(boolean isHeld) {
+		this.lease.set(isHeld ? 1 : 0);
+	}
+
+	byte[] toText() {
+		try {
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			new PrometheusTextFormatWriter(true).write(out, this.registry.scrape());
+			return out.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("cannot write metrics", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeSettings.java
@@ -0,0 +1,130 @@
+package org.celeryhill.edge;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.celeryhill.base.Finding;
+import org.celeryhill.platform.ServerCodec;
+import picocli.CommandLine.Option;
+
+/**
+ * Settings of an edge daemon, as flags. Each flag can also be given as an environment
+ * variable. Filled by picocli, checked by {@link #check()}, then only read.
+ */
+final class EdgeSettings {
+
+	@Option(names = "--host-id", required = true, description = "Unique id of this host.")
+	String hostId;
+
+	@Option(names = "--data-centre", required = true, description = "Data centre of this host.")
+	String dataCentre;
+
+	@Option(names = "--region", required = true, description = "Region of this host.")
+	String region;
+
+	@Option(names = "--front", required = true, description = "IP:PORT for callers.")
+	String front;
+
+	@Option(names = "--ready", required = true, description = "IP:PORT for the readiness question of the balancer.")
+	String ready;
+
+	@Option(names = "--peer", defaultValue = "", description = "IP:PORT for other edge daemons; empty to run alone.")
+	String peer;
+
+	@Option(names = "--seeds", defaultValue = "", description = "IP:PORT of other edge daemons, separated by commas.")
+	String seeds;
+
+	@Option(names = "--metrics-port", defaultValue = "9464", description = "Port of metrics and state dump.")
+	int metricsPort;
+
+	@Option(names = "--store", required = true, description = "IP:PORT of the platform's store.")
+	String store;
+
+	@Option(names = "--lease-ms", defaultValue = "3000",
+			description = "Time in ms that two hosts which send commands in turn must be apart.")
+	long leaseMillis;
+
+	@Option(names = "--grace-s", defaultValue = "8", description = "Time in s from SIGTERM to SIGKILL.")
+	double graceSeconds;
+
+	@Option(names = "--load-window-s", defaultValue = "5",
+			description = "Window in s within which loads from the weight store are counted.")
+	double loadWindowSeconds;
+
+	@Option(names = "--retry-ratio", defaultValue = "0.2",
+			description = "Second sends as a part of the requests, over all hosts.")
+	double retryRatio;
+
+	/**
+	 * Checks the settings.
+	 * @return all that is wrong, never null
+	 */
+	List<Finding> check() {
+		List<Finding> findings = new ArrayList<>();
+		checkAddress("--front", this.front, findings);
+		checkAddress("--ready", this.ready, findings);
+		checkAddress("--store", this.store, findings);
+		if (!this.peer.isEmpty()) {
+			checkAddress("--peer", this.peer, findings);
+		}
+		for (String seed : seedTexts()) {
+			checkAddress("--seeds", seed, findings);
+		}
+		checkPositive("--lease-ms", this.leaseMillis, findings);
+		checkPositive("--grace-s", this.graceSeconds, findings);
+		checkPositive("--load-window-s", this.loadWindowSeconds, findings);
+		if (!(this.retryRatio >= 0 && this.retryRatio <= 1)) {
+			findings.add(Finding.error("settings", 0, "--retry-ratio", "must be within 0 and 1"));
+		}
+		if (this.metricsPort < 0 || this.metricsPort > 65_535) {
+			findings.add(Finding.error("settings", 0, "--metrics-port", "must be within 0 and 65535"));
+		}
+		return findings;
+	}
+
+	private static void checkAddress(String flag, String text, List<Finding> findings) {
+		try {
+			ServerCodec.address(text);
+		}
+		catch (IllegalArgumentException ex) {
+			findings.add(Finding.error("settings", 0, flag, ex.getMessage()));
+		}
+	}
+
+	private static void checkPositive(String flag, double value, List<Finding> findings) {
+		if (!(value > 0)) {
+			findings.add(Finding.error("settings", 0, flag, "must be positive"));
+		}
+	}
+
+	private List<String> seedTexts() {
+		return this.seeds.isBlank() ? List.of() : List.of(this.seeds.split(","));
+	}
+
+	InetSocketAddress frontAddress() {
+		return ServerCodec.address(this.front);
+	}
+
+	InetSocketAddress readyAddress() {
+		return ServerCodec.address(this.ready);
+	}
+
+	InetSocketAddress storeAddress() {
+		return ServerCodec.address(this.store);
+	}
+
+	InetSocketAddress metricsAddress() {
+		return new InetSocketAddress(frontAddress().getAddress(), this.metricsPort);
+	}
+
+	List<InetSocketAddress> seedAddresses() {
+		return seedTexts().stream().map(ServerCodec::address).toList();
+	}
+
+	Duration grace() {
+		return Duration.ofNanos((long) (this.graceSeconds * 1e9));
+	}
+
+}
--- /dev/null
+++ b/forward/src/main/java/org/celeryhill/forward/RoutingTable.java
@@ -0,0 +1,118 @@
+package org.celeryhill.forward;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import org.celeryhill.base.ServiceId;
+
+/**
+ * One version of the operator's configuration for forwarding. Immutable and thread-safe.
+ */
+public final class RoutingTable {
+
+	/** Routes by host, longest prefix first. */
+	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+	private final Map<ServiceId, ServiceProfile> services = new HashMap<>();
+
+	private final List<Route> routes;
+
+	private final IngressLimits limits;
+
+	private final long version;
+
+	private RoutingTable(long version, List<Route> routes, List<ServiceProfile> services, IngressLimits limits) {
+		this.version = version;
+		this.routes = List.copyOf(routes);
+		this.limits = limits;
+		for (Route route : routes) {
+			this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
+		}
+		Comparator<Route> longestFirst = Comparator.comparingInt((Route route) -> route.pathPrefix().length())
+			.reversed();
+		this.routesByHost.values().forEach((list) -> list.sort(longestFirst));
+		services.forEach((service) -> this.services.put(service.id(), service));
+	}
+
+	/**
+	 * Creates a table.
+	 * @param version the version, positive; a higher one replaces a lower one
+	 * @param routes the routes, not null
+	 * @param services the services, not null
+	 * @param limits the bounds on requests, not null
+	 * @return the table, never null
+	 */
+	public static RoutingTable of(long version, List<Route> routes, List<ServiceProfile> services,
+			IngressLimits limits) {
+		return new RoutingTable(version, routes, services, limits);
+	}
+
+	/**
+	 * Finds the route with the longest prefix that begins the path.
+	 * @param host the host that the caller named, with or without a port, not null
+	 * @param target the request target, with or without a query, not null
+	 * @return the route, empty if none matches
+	 */
+	public Optional<Route> find(String host, String target) {
+		int query = target.indexOf('?');
+		String path = (query >= 0) ? target.substring(0, query) : target;
+		for (Route route : this.routesByHost.getOrDefault(name(host), List.of())) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static String name(String host) {
+		int colon = host.lastIndexOf(':');
+		return ((colon >= 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version, positive
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns all routes.
+	 * @return the routes, never null
+	 */
+	public List<Route> routes() {
+		return this.routes;
+	}
+
+	/**
+	 * Returns the profile of a service.
+	 * @param id the service, not null
+	 * @return the profile, empty if the configuration does not describe the service
+	 */
+	public Optional<ServiceProfile> service(ServiceId id) {
+		return Optional.ofNullable(this.services.get(id));
+	}
+
+	/**
+	 * Returns the profiles of all services.
+	 * @return the profiles, never null
+	 */
+	public List<ServiceProfile> services() {
+		return List.copyOf(this.services.values());
+	}
+
+	/**
+	 * Returns the bounds on requests.
+	 * @return the bounds, never null
+	 */
+	public IngressLimits limits() {
+		return this.limits;
+	}
+
+}
--- a/http/src/main/java/org/celeryhill/http/LogSetup.java
+++ b/http/src/main/java/org/celeryhill/http/LogSetup.java
@@ -1,6 +1,8 @@
 package org.celeryhill.http;
 
-import java.util.logging.ConsoleHandler;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -10,7 +12,7 @@
 import org.celeryhill.base.EventLog;
 
 /**
- * Sends the log of a process to standard error, one line of key=value pairs for each
+ * Sends the log of a process to standard output, one line of key=value pairs for each
  * event. Thread-safe.
  */
 public final class LogSetup {
@@ -27,13 +29,22 @@
 		for (Handler handler : root.getHandlers()) {
 			root.removeHandler(handler);
 		}
-		Handler handler = new ConsoleHandler();
+		Handler handler = new BoundedLogHandler(new PrintStream(new FileOutputStream(FileDescriptor.out)));
 		handler.setFormatter(new KeyValueFormatter());
 		handler.setLevel(level);
 		root.addHandler(handler);
 		root.setLevel(level);
 	}
 
+	/**
+	 * Writes what has been logged so far, before the process ends.
+	 */
+	public static void flush() {
+		for (Handler handler : Logger.getLogger("").getHandlers()) {
+			handler.flush();
+		}
+	}
+
 	/** Formats a record as one line. */
 	static final class KeyValueFormatter extends Formatter {
 
