--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
@@ -0,0 +1,72 @@
+package org.celeryhill.edge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.Finding;
+import org.celeryhill.forward.Forwarder;
+import org.celeryhill.forward.RoutingTable;
+import org.celeryhill.platform.ConfigurationCodec;
+import org.celeryhill.platform.StoreClient;
+import org.celeryhill.platform.StoreFeed;
+
+/**
+ * Keeps the newest configuration in force, whether it comes from the store or from
+ * another host. Must be used on the event loop.
+ */
+final class ConfigurationHolder implements StoreFeed.Listener {
+
+	static final String TABLE = "op";
+
+	private static final EventLog LOG = EventLog.of(ConfigurationHolder.class);
+
+	private static final String KEY = "config";
+
+	private final Forwarder forwarder;
+
+	private byte[] document = {};
+
+	ConfigurationHolder(Forwarder forwarder) {
+		this.forwarder = forwarder;
+	}
+
+	// Puts a document in force if its version is higher than the one in force.
+	void offer(byte[] next, String source) {
+		List<Finding> findings = new ArrayList<>();
+		Optional<RoutingTable> table = ConfigurationCodec.decode(next, findings);
+		findings.forEach((finding) -> LOG.warn("configuration_finding", "source", source, "finding", finding));
+		if (table.isEmpty()) {
+			return;
+		}
+		if (this.forwarder.apply(table.get())) {
+			this.document = next;
+		}
+		else {
+			LOG.info("configuration_ignored", "version", table.get().version(), "in_force", version(), "source",
+					source);
+		}
+	}
+
+	long version() {
+		return this.forwarder.table().map(RoutingTable::version).orElse(0L);
+	}
+
+	byte[] document() {
+		return this.document;
+	}
+
+	@Override
+	public void changed(StoreClient.StoredRow row) {
+		if (row.key().equals(KEY)) {
+			offer(row.value(), "store");
+		}
+	}
+
+	@Override
+	public void removed(String key, long version) {
+		LOG.warn("operator_row_removed", "key", key, "version", version);
+	}
+
+}
--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -2,32 +2,36 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.EventLog;
-import org.celeryhill.base.Finding;
 import org.celeryhill.base.HostId;
+import org.celeryhill.base.SystemTimerService;
+import org.celeryhill.base.TimerService;
 import org.celeryhill.forward.BackendClient;
 import org.celeryhill.forward.Forwarder;
 import org.celeryhill.forward.FrontServer;
-import org.celeryhill.forward.RoutingTable;
 import org.celeryhill.forward.ServerEntry;
-import org.celeryhill.platform.ConfigurationCodec;
-import org.celeryhill.platform.PlatformCalls;
+import org.celeryhill.platform.JsonCalls;
+import org.celeryhill.platform.PlatformEngines;
 import org.celeryhill.platform.PlatformHeaders;
+import org.celeryhill.platform.ServerCodec;
 import org.celeryhill.platform.StoreClient;
 import org.celeryhill.platform.StoreFeed;
+import org.celeryhill.platform.StoreTable;
+import org.celeryhill.state.ConditionalWriter;
+import org.celeryhill.state.LeaseStore;
+import org.celeryhill.state.RetryPolicy;
 import org.celeryhill.traffic.DefaultTrafficController;
 import org.celeryhill.traffic.TrafficController;
 import org.celeryhill.traffic.TrafficTunables;
@@ -40,11 +44,12 @@
 
 	private static final EventLog LOG = EventLog.of(EdgeDaemon.class);
 
-	private static final String OPERATOR_TABLE = "op";
+	private static final long HOUSEKEEPING_MS = 500;
 
-	private static final String CONFIGURATION_KEY = "config";
+	private static final long CONTROL_MS = 50;
 
-	private static final long HOUSEKEEPING_MS = 500;
+	/** Duration of the lease as a part of the time between commands of two holders. */
+	private static final long LEASE_PERCENT = 150;
 
 	/** Time after SIGTERM in which the balancer notices that this host is not ready. */
 	private static final Duration BALANCER_DELAY = Duration.ofMillis(3500);
@@ -75,6 +80,16 @@
 
 	private final TrafficController traffic;
 
+	private final ConfigurationHolder configuration;
+
+	private final Leadership leadership;
+
+	private final PlacementLoop placement;
+
+	private final PeerService peers;
+
+	private final FrontServer peerServer;
+
 	private boolean isStopping;
 
 	private long stopNanos;
@@ -94,26 +109,63 @@
 				Map.of("/metrics", this.metrics::toText, "/state", this::dump));
 		this.ready = FrontServer.create(this.loop, readiness);
 		this.operations = FrontServer.create(this.loop, pages);
-		this.store = StoreClient.create(PlatformCalls.create(this.loop, this.client), settings.storeAddress());
+		JsonCalls calls = JsonCalls.create(this.loop, this.client);
+		this.store = StoreClient.create(calls, settings.storeAddress());
+		this.configuration = new ConfigurationHolder(this.forwarder);
+		DemandMeter demand = new DemandMeter();
+		this.forwarder.setDemandListener(demand);
+		this.leadership = new Leadership(this.loop, leases(), this.metrics, leaseDuration(),
+				Duration.ofMillis(settings.leaseMillis));
+		this.placement = new PlacementLoop(this.loop, this.forwarder, PlatformEngines.create(calls), this.leadership,
+				this.metrics, settings, this::totalDemand);
+		this.peers = new PeerService(this.loop, calls, this.forwarder, this.leadership, this.placement, demand,
+				this.configuration, settings);
+		this.forwarder.setAdapterLoader(this.peers);
+		this.peerServer = FrontServer.create(this.loop, this.peers);
 	}
 
 	static EdgeDaemon create(EdgeSettings settings) {
 		return new EdgeDaemon(settings);
 	}
 
+	private Map<DemandMeter.Key, DemandMeter.Rate> totalDemand() {
+		return this.peers.totalDemand();
+	}
+
+	private Duration leaseDuration() {
+		return Duration.ofMillis(this.settings.leaseMillis * LEASE_PERCENT / 100);
+	}
+
+	private LeaseStore leases() {
+		TimerService timer = SystemTimerService.create();
+		String prefix = this.settings.hostId + "-" + UUID.randomUUID();
+		AtomicLong count = new AtomicLong();
+		ConditionalWriter writer = ConditionalWriter.create(StoreTable.create(this.store),
+				() -> AttemptId.of(prefix + "-" + count.incrementAndGet()), RetryPolicy.immediate());
+		return LeaseStore.create(writer, timer, HostId.of(this.settings.peer), leaseDuration());
+	}
+
 	void start() throws InterruptedException {
 		LOG.info("edge_starting", "host", this.settings.hostId, "data_centre", this.settings.dataCentre, "front",
 				this.settings.front, "store", this.settings.store);
-		StoreFeed.start(this.store, this.loop, OPERATOR_TABLE, new ConfigurationListener());
+		StoreFeed.start(this.store, this.loop, ConfigurationHolder.TABLE, this.configuration);
 		StoreFeed.start(this.store, this.loop, HostListFollower.TABLE,
 				new HostListFollower(this.loop, this.forwarder.directory()));
 		this.front.listen(this.settings.frontAddress()).sync();
 		this.ready.listen(this.settings.readyAddress()).sync();
+		this.peerServer.listen(ServerCodec.address(this.settings.peer)).sync();
 		this.operations.listen(this.settings.metricsAddress()).sync();
 		this.loop.scheduleAtFixedRate(this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::control, CONTROL_MS, CONTROL_MS, TimeUnit.MILLISECONDS);
 		LOG.info("edge_started", "host", this.settings.hostId);
 	}
 
+	private void control() {
+		this.leadership.tick();
+		this.placement.tick();
+		this.peers.tick();
+	}
+
 	private boolean isReady() {
 		return !this.isStopping && this.forwarder.table().isPresent();
 	}
@@ -124,10 +176,11 @@
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
 			used.add(new BackendClient.PoolKey(entry.address(), entry.id().value() + "@" + entry.incarnation()));
 		}
-		this.client.closeIdle(used::contains);
+		this.client.closeIdle((key) -> key.life().equals("peer") || used.contains(key));
 		this.front.closeExpired();
 		this.ready.closeExpired();
 		this.operations.closeExpired();
+		this.peerServer.closeExpired();
 	}
 
 	private byte[] dump() {
@@ -147,6 +200,7 @@
 			this.stopNanos = System.nanoTime();
 			LOG.info("edge_stopping", "host", this.settings.hostId, "active", this.forwarder.activeCount());
 			this.front.startStopping();
+			this.leadership.stop();
 			this.loop.scheduleAtFixedRate(() -> stopWhenIdle(done), HOUSEKEEPING_MS / 10, HOUSEKEEPING_MS / 10,
 					TimeUnit.MILLISECONDS);
 		});
@@ -165,27 +219,4 @@
 		this.loop.schedule(done, HOUSEKEEPING_MS / 10, TimeUnit.MILLISECONDS);
 	}
 
-	private final class ConfigurationListener implements StoreFeed.Listener {
-
-		@Override
-		public void changed(StoreClient.StoredRow row) {
-			if (!row.key().equals(CONFIGURATION_KEY)) {
-				return;
-			}
-			List<Finding> findings = new ArrayList<>();
-			Optional<RoutingTable> table = ConfigurationCodec.decode(row.value(), findings);
-			findings.forEach(
-					(finding) -> LOG.warn("configuration_finding", "row_version", row.version(), "finding", finding));
-			if (table.isPresent() && !EdgeDaemon.this.forwarder.apply(table.get())) {
-				LOG.info("configuration_ignored", "version", table.get().version(), "row_version", row.version());
-			}
-		}
-
-		@Override
-		public void removed(String key, long version) {
-			LOG.warn("operator_row_removed", "key", key, "version", version);
-		}
-
-	}
-
 }
--- a/edge/src/main/java/org/celeryhill/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeSettings.java
@@ -66,9 +66,7 @@
 		checkAddress("--front", this.front, findings);
 		checkAddress("--ready", this.ready, findings);
 		checkAddress("--store", this.store, findings);
-		if (!this.peer.isEmpty()) {
-			checkAddress("--peer", this.peer, findings);
-		}
+		checkAddress("--peer", this.peer, findings);
 		for (String seed : seedTexts()) {
 			checkAddress("--seeds", seed, findings);
 		}
--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -0,0 +1,190 @@
+package org.celeryhill.edge;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.HostId;
+import org.celeryhill.platform.ServerCodec;
+import org.celeryhill.state.Lease;
+import org.celeryhill.state.LeaseName;
+import org.celeryhill.state.LeaseStore;
+
+/**
+ * Competes for the placement lease and knows who holds it. The lease names its holder by
+ * the address for other edge daemons. Must be used on the event loop; calls to the store
+ * run on a thread of their own.
+ */
+final class Leadership {
+
+	private static final EventLog LOG = EventLog.of(Leadership.class);
+
+	/** Added to the time between the commands of two holders. */
+	private static final Duration TURN_SLACK = Duration.ofMillis(500);
+
+	private static final long FIRST_TOKEN = 1;
+
+	private static final LeaseName NAME = LeaseName.of("placement");
+
+	private final ExecutorService worker = Executors.newSingleThreadExecutor((task) -> {
+		Thread thread = new Thread(task, "lease");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final EventLoop loop;
+
+	private final LeaseStore leases;
+
+	private final EdgeMetrics metrics;
+
+	private final Duration duration;
+
+	private final Duration turn;
+
+	private final PauseDetector pauses = new PauseDetector(System.nanoTime(), wallNanos());
+
+	private Optional<Lease> lease = Optional.empty();
+
+	private Optional<InetSocketAddress> holder = Optional.empty();
+
+	private long firstCommandNanos;
+
+	private boolean isCalling;
+
+	private boolean isStopping;
+
+	private long lastCallNanos;
+
+	Leadership(EventLoop loop, LeaseStore leases, EdgeMetrics metrics, Duration duration, Duration turn) {
+		this.loop = loop;
+		this.leases = leases;
+		this.metrics = metrics;
+		this.duration = duration;
+		this.turn = turn;
+		this.lastCallNanos = System.nanoTime() - duration.toNanos();
+	}
+
+	private static long wallNanos() {
+		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+	}
+
+	// Renews or asks for the lease when that is due. Called several times a second.
+	void tick() {
+		look();
+		long now = System.nanoTime();
+		if (this.lease.isPresent() && !this.lease.get().isUsable(now)) {
+			LOG.warn("lease_expired", "token", this.lease.get().token().value());
+			lost();
+		}
+		boolean isDue = now - this.lastCallNanos >= this.duration.toNanos() / 3
+				|| this.lease.filter((held) -> !this.pauses.isAfterPause(held.renewedNanos())).isPresent();
+		if (this.isCalling || this.isStopping || !isDue) {
+			return;
+		}
+		this.isCalling = true;
+		this.lastCallNanos = now;
+		Optional<Lease> held = this.lease;
+		this.worker.execute(() -> {
+			Object result = held.isPresent() ? this.leases.renew(held.get()) : this.leases.acquire(NAME);
+			this.loop.execute(() -> called(held, result));
+		});
+	}
+
+	private void look() {
+		if (this.pauses.look(System.nanoTime(), wallNanos())) {
+			LOG.warn("pause_suspected", "holder", this.lease.isPresent());
+		}
+	}
+
+	private void called(Optional<Lease> before, Object result) {
+		this.isCalling = false;
+		look();
+		if (result instanceof LeaseStore.Granted granted) {
+			granted(before, granted.lease());
+		}
+		else if (result instanceof LeaseStore.HeldBy other) {
+			heldBy(other.holder());
+		}
+		else if (result instanceof LeaseStore.Lost) {
+			LOG.warn("lease_lost", "token", before.map((held) -> held.token().value()).orElse(0L));
+			lost();
+		}
+		else {
+			LOG.info("lease_unknown", "result", result);
+		}
+	}
+
+	private void granted(Optional<Lease> before, Lease next) {
+		if (before.isEmpty()) {
+			boolean isFirst = next.token().value() == FIRST_TOKEN;
+			Duration wait = isFirst ? Duration.ZERO : this.turn.plus(TURN_SLACK);
+			this.firstCommandNanos = System.nanoTime() + wait.toNanos();
+			LOG.info("lease_granted", "token", next.token().value(), "commands_after_ms", wait.toMillis());
+			this.metrics.leaseHeld(true);
+		}
+		this.lease = Optional.of(next);
+		this.holder = Optional.empty();
+	}
+
+	private void heldBy(HostId other) {
+		try {
+			Optional<InetSocketAddress> address = Optional.of(ServerCodec.address(other.value()));
+			if (!address.equals(this.holder)) {
+				LOG.info("lease_holder_seen", "holder", other);
+			}
+			this.holder = address;
+		}
+		catch (IllegalArgumentException ex) {
+			LOG.warn("lease_holder_unreadable", "holder", other, "cause", ex.getMessage());
+		}
+	}
+
+	private void lost() {
+		this.lease = Optional.empty();
+		this.metrics.leaseHeld(false);
+	}
+
+	/**
+	 * Returns the lease if a command may be sent under it at this moment.
+	 * @return the lease, empty if this host does not hold it beyond doubt
+	 */
+	Optional<Lease> commandLease() {
+		look();
+		long now = System.nanoTime();
+		return this.lease.filter((held) -> !this.isStopping && held.isUsable(now) && now - this.firstCommandNanos >= 0
+				&& this.pauses.isAfterPause(held.renewedNanos()));
+	}
+
+	/**
+	 * Returns whether this host holds the lease, though it may not send commands yet.
+	 * @return whether it does
+	 */
+	boolean isHolder() {
+		return this.lease.isPresent();
+	}
+
+	/**
+	 * Returns where the holder listens.
+	 * @return the address, empty if this host holds the lease or no holder is known
+	 */
+	Optional<InetSocketAddress> holder() {
+		return this.holder;
+	}
+
+	// Gives the lease back.
+	void stop() {
+		this.isStopping = true;
+		this.lease.ifPresent((held) -> this.worker.execute(() -> {
+			Object result = this.leases.release(held);
+			LOG.info("lease_released", "token", held.token().value(), "result", result);
+		}));
+		lost();
+	}
+
+}
--- a/edge/src/main/java/org/celeryhill/edge/OperationalHandler.java
+++ b/edge/src/main/java/org/celeryhill/edge/OperationalHandler.java
@@ -42,7 +42,7 @@
 					: HttpResponseStatus.SERVICE_UNAVAILABLE;
 			channel.answer(status, headers, Unpooled.EMPTY_BUFFER);
 		}
-		return Answered.INSTANCE;
+		return Running.NONE;
 	}
 
 	@Override
@@ -50,20 +50,4 @@
 		return IngressLimits.DEFAULTS;
 	}
 
-	private enum Answered implements Running {
-
-		INSTANCE;
-
-		@Override
-		public void callerLeft() {
-			// The answer was written at once.
-		}
-
-		@Override
-		public void callerReads() {
-			// Nothing more is written.
-		}
-
-	}
-
 }
--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -0,0 +1,108 @@
+package org.celeryhill.edge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.HostId;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.base.PriorityClass;
+import org.celeryhill.base.ServiceId;
+import org.celeryhill.base.UsageTotals;
+import org.celeryhill.forward.RevisionMapping;
+import org.celeryhill.platform.JsonCalls;
+
+/**
+ * Bodies of the messages between edge daemons.
+ */
+final class PeerMessages {
+
+	private PeerMessages() {
+	}
+
+	static ObjectNode encodeUsage(UsageTotals usage) {
+		ObjectNode node = JsonCalls.MAPPER.createObjectNode();
+		node.put("host", usage.host().value());
+		node.put("dataCentre", usage.dataCentre().value());
+		node.put("incarnation", usage.incarnation());
+		node.put("sequence", usage.sequence());
+		ObjectNode tokens = node.putObject("tokens");
+		usage.tokens().forEach((key, count) -> tokens.put(key.priority().name(), count));
+		return node;
+	}
+
+	static UsageTotals decodeUsage(JsonNode node) {
+		Map<UsageTotals.Key, Long> tokens = new HashMap<>();
+		node.path("tokens")
+			.fields()
+			.forEachRemaining((field) -> tokens.put(
+					new UsageTotals.Key(RevisionMapping.ORGANISATION, PriorityClass.valueOf(field.getKey())),
+					field.getValue().asLong()));
+		return new UsageTotals(HostId.of(node.path("host").asText()), DataCentre.of(node.path("dataCentre").asText()),
+				node.path("incarnation").asText(), node.path("sequence").asLong(), tokens);
+	}
+
+	static ArrayNode encodeDemand(Map<DemandMeter.Key, DemandMeter.Rate> rates) {
+		ArrayNode list = JsonCalls.MAPPER.createArrayNode();
+		rates.forEach((key, rate) -> list.addObject()
+			.put("service", key.service().value())
+			.put("model", key.model().value())
+			.put("tokens", rate.tokensPerSecond())
+			.put("value", rate.valuePerSecond()));
+		return list;
+	}
+
+	static Map<DemandMeter.Key, DemandMeter.Rate> decodeDemand(JsonNode list) {
+		Map<DemandMeter.Key, DemandMeter.Rate> rates = new HashMap<>();
+		for (JsonNode node : list) {
+			rates.put(
+					new DemandMeter.Key(ServiceId.of(node.path("service").asText()),
+							ModelId.of(node.path("model").asText())),
+					new DemandMeter.Rate(node.path("tokens").asDouble(), node.path("value").asDouble()));
+		}
+		return rates;
+	}
+
+	static ArrayNode encodeModels(List<EngineModel> models) {
+		ArrayNode list = JsonCalls.MAPPER.createArrayNode();
+		models.forEach((one) -> list.addObject().put("engine", one.engine().value()).put("model", one.model().value()));
+		return list;
+	}
+
+	static List<EngineModel> decodeModels(JsonNode list) {
+		List<EngineModel> models = new ArrayList<>();
+		for (JsonNode node : list) {
+			models.add(new EngineModel(BackendServerId.of(node.path("engine").asText()),
+					ModelId.of(node.path("model").asText())));
+		}
+		return models;
+	}
+
+	static ObjectNode encodeAdapter(BackendServerId engine, ModelId model, String adapter) {
+		return JsonCalls.MAPPER.createObjectNode()
+			.put("engine", engine.value())
+			.put("model", model.value())
+			.put("adapter", adapter);
+	}
+
+	static Optional<String> text(JsonNode node, String field) {
+		return Optional.of(node.path(field).asText()).filter((value) -> !value.isEmpty());
+	}
+
+	/**
+	 * A model or adapter on an engine.
+	 *
+	 * @param engine the engine, not null
+	 * @param model the model or adapter, not null
+	 */
+	record EngineModel(BackendServerId engine, ModelId model) {
+	}
+
+}
--- /dev/null
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -0,0 +1,323 @@
+package org.celeryhill.edge;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.EventLog;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.base.UsageTotals;
+import org.celeryhill.forward.AdapterLoader;
+import org.celeryhill.forward.CallerRequest;
+import org.celeryhill.forward.Forwarder;
+import org.celeryhill.forward.IncomingRequest;
+import org.celeryhill.forward.IngressLimits;
+import org.celeryhill.forward.RequestHandler;
+import org.celeryhill.forward.ResponseChannel;
+import org.celeryhill.platform.JsonCalls;
+import org.celeryhill.platform.ServerCodec;
+
+/**
+ * Connects this host with the holder of the placement lease. Each host tells the holder
+ * its demand and usage several times a second and learns the usage of the others, the
+ * models that are about to leave engines and a newer configuration. A host that does not
+ * know the holder asks the hosts that it knows. Must be used on the event loop.
+ */
+final class PeerService implements RequestHandler, AdapterLoader {
+
+	private static final EventLog LOG = EventLog.of(PeerService.class);
+
+	private static final String BEAT = "/beat";
+
+	private static final String ADAPTER = "/adapter";
+
+	private static final Duration BEAT_TIMEOUT = Duration.ofMillis(700);
+
+	private static final Duration ADAPTER_TIMEOUT = Duration.ofMillis(900);
+
+	private static final long BEAT_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+	/** A host that was silent for longer no longer counts. */
+	private static final long MEMBER_NANOS = TimeUnit.MILLISECONDS.toNanos(2500);
+
+	private final Map<String, Member> members = new LinkedHashMap<>();
+
+	private final Set<PeerMessages.EngineModel> uses = new HashSet<>();
+
+	private final EventLoop loop;
+
+	private final JsonCalls calls;
+
+	private final Forwarder forwarder;
+
+	private final Leadership leadership;
+
+	private final PlacementLoop placement;
+
+	private final DemandMeter demand;
+
+	private final ConfigurationHolder configuration;
+
+	private final String address;
+
+	private final List<InetSocketAddress> seeds;
+
+	private Optional<InetSocketAddress> hint = Optional.empty();
+
+	private long lastBeatNanos = System.nanoTime() - BEAT_PERIOD_NANOS;
+
+	private boolean isBeating;
+
+	private int nextSeed;
+
+	private boolean isHolderLost;
+
+	PeerService(EventLoop loop, JsonCalls calls, Forwarder forwarder, Leadership leadership, PlacementLoop placement,
+			DemandMeter demand, ConfigurationHolder configuration, EdgeSettings settings) {
+		this.loop = loop;
+		this.calls = calls;
+		this.forwarder = forwarder;
+		this.leadership = leadership;
+		this.placement = placement;
+		this.demand = demand;
+		this.configuration = configuration;
+		this.address = settings.peer;
+		this.seeds = settings.seedAddresses();
+	}
+
+	// Sends a beat when one is due.
+	void tick() {
+		long now = System.nanoTime();
+		if (this.isBeating || now - this.lastBeatNanos < BEAT_PERIOD_NANOS) {
+			return;
+		}
+		this.lastBeatNanos = now;
+		if (this.leadership.isHolder()) {
+			this.uses.forEach((use) -> this.placement.used(use.engine(), use.model()));
+			this.uses.clear();
+			retire(retiring());
+			return;
+		}
+		target().ifPresent(this::beat);
+	}
+
+	private Optional<InetSocketAddress> target() {
+		Optional<InetSocketAddress> holder = this.leadership.holder().or(() -> this.hint);
+		if (holder.isPresent() && !this.isHolderLost) {
+			return holder;
+		}
+		this.isHolderLost = false;
+		List<InetSocketAddress> known = new ArrayList<>(this.seeds);
+		this.members.keySet().forEach((text) -> known.add(ServerCodec.address(text)));
+		known.removeIf((one) -> one.equals(ServerCodec.address(this.address)));
+		return known.isEmpty() ? Optional.empty() : Optional.of(known.get(this.nextSeed++ % known.size()));
+	}
+
+	private void beat(InetSocketAddress target) {
+		this.isBeating = true;
+		ObjectNode body = JsonCalls.MAPPER.createObjectNode();
+		body.put("address", this.address);
+		body.put("version", this.configuration.version());
+		body.set("usage", PeerMessages.encodeUsage(this.forwarder.usage()));
+		body.set("demand", PeerMessages.encodeDemand(this.demand.rates()));
+		body.set("uses", PeerMessages.encodeModels(List.copyOf(this.uses)));
+		this.uses.clear();
+		this.calls.send(call(target, BEAT, body, BEAT_TIMEOUT)).whenComplete((reply, failure) -> {
+			this.isBeating = false;
+			if (failure != null || reply.status() != HttpResponseStatus.OK.code()) {
+				this.isHolderLost = true;
+				this.hint = Optional.empty();
+				LOG.info("beat_failed", "target", target, "cause", (failure != null) ? failure : reply.status());
+				return;
+			}
+			receive(reply.body());
+		});
+	}
+
+	private static JsonCalls.Call call(InetSocketAddress target, String path, ObjectNode body, Duration timeout) {
+		return new JsonCalls.Call(target, "peer", "POST", path, Map.of(), Optional.of(body), timeout);
+	}
+
+	private void receive(JsonNode reply) {
+		PeerMessages.text(reply, "holder").ifPresent((holder) -> this.hint = Optional.of(ServerCodec.address(holder)));
+		for (JsonNode usage : reply.path("usage")) {
+			this.forwarder.observePeer(PeerMessages.decodeUsage(usage));
+		}
+		if (reply.path("isHolder").asBoolean()) {
+			retire(PeerMessages.decodeModels(reply.path("retiring")));
+		}
+		PeerMessages.text(reply, "configuration")
+			.ifPresent((text) -> this.configuration.offer(Base64.getDecoder().decode(text), "peer"));
+	}
+
+	private void retire(List<PeerMessages.EngineModel> models) {
+		Map<BackendServerId, ModelId> byEngine = new HashMap<>();
+		models.forEach((one) -> byEngine.put(one.engine(), one.model()));
+		this.forwarder.directory().setRetiring(byEngine);
+	}
+
+	private List<PeerMessages.EngineModel> retiring() {
+		List<PeerMessages.EngineModel> models = new ArrayList<>();
+		this.placement.retiring().forEach((engine, model) -> models.add(new PeerMessages.EngineModel(engine, model)));
+		return models;
+	}
+
+	// Returns the demand of all hosts.
+	Map<DemandMeter.Key, DemandMeter.Rate> totalDemand() {
+		Map<DemandMeter.Key, DemandMeter.Rate> total = new HashMap<>(this.demand.rates());
+		removeSilent();
+		for (Member member : this.members.values()) {
+			member.demand().forEach((key, rate) -> total.merge(key, rate, DemandMeter.Rate::plus));
+		}
+		return total;
+	}
+
+	private void removeSilent() {
+		long now = System.nanoTime();
+		this.members.values().removeIf((member) -> now - member.seenNanos() > MEMBER_NANOS);
+	}
+
+	@Override
+	public void load(BackendServerId engine, CallerRequest.ModelName name, Consumer<Boolean> done) {
+		Consumer<Boolean> noted = (isLoaded) -> {
+			if (isLoaded) {
+				this.forwarder.directory().addAdapter(engine, name.toId());
+			}
+			done.accept(isLoaded);
+		};
+		if (this.leadership.isHolder()) {
+			this.placement.loadAdapter(engine, name, noted);
+			return;
+		}
+		Optional<InetSocketAddress> holder = this.leadership.holder().or(() -> this.hint);
+		if (holder.isEmpty()) {
+			LOG.info("adapter_not_requested", "engine", engine, "adapter", name.toId(), "reason", "no_holder");
+			noted.accept(false);
+			return;
+		}
+		ObjectNode body = PeerMessages.encodeAdapter(engine, name.model(), name.adapter().orElseThrow());
+		this.calls.send(call(holder.get(), ADAPTER, body, ADAPTER_TIMEOUT)).whenComplete((reply, failure) -> {
+			boolean isLoaded = failure == null && reply.status() == HttpResponseStatus.OK.code()
+					&& reply.body().path("isLoaded").asBoolean();
+			noted.accept(isLoaded);
+		});
+	}
+
+	@Override
+	public void used(BackendServerId engine, CallerRequest.ModelName name) {
+		this.uses.add(new PeerMessages.EngineModel(engine, name.toId()));
+	}
+
+	@Override
+	public Running handle(IncomingRequest request, ResponseChannel channel) {
+		byte[] bytes = ByteBufUtil.getBytes(request.body());
+		request.body().release();
+		try {
+			JsonNode body = JsonCalls.MAPPER.readTree(bytes);
+			if (request.target().equals(BEAT)) {
+				answer(channel, answerBeat(body));
+			}
+			else if (request.target().equals(ADAPTER)) {
+				answerAdapter(body, channel);
+			}
+			else {
+				channel.answer(HttpResponseStatus.NOT_FOUND, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
+			}
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			LOG.warn("peer_message_malformed", "target", request.target(), "cause", ex.getMessage());
+			channel.answer(HttpResponseStatus.BAD_REQUEST, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
+		}
+		return Running.NONE;
+	}
+
+	private static void answer(ResponseChannel channel, ObjectNode body) {
+		try {
+			channel.answer(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE,
+					Unpooled.wrappedBuffer(JsonCalls.MAPPER.writeValueAsBytes(body)));
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("cannot encode a message", ex);
+		}
+	}
+
+	private ObjectNode answerBeat(JsonNode body) {
+		String sender = body.path("address").asText();
+		ServerCodec.address(sender);
+		UsageTotals usage = PeerMessages.decodeUsage(body.path("usage"));
+		this.members.put(sender, new Member(usage, PeerMessages.decodeDemand(body.path("demand")), System.nanoTime()));
+		removeSilent();
+		this.forwarder.observePeer(usage);
+		ObjectNode reply = JsonCalls.MAPPER.createObjectNode();
+		reply.put("isHolder", this.leadership.isHolder());
+		if (this.leadership.isHolder()) {
+			reply.put("holder", this.address);
+			PeerMessages.decodeModels(body.path("uses"))
+				.forEach((use) -> this.placement.used(use.engine(), use.model()));
+			ArrayNode usages = reply.putArray("usage");
+			usages.add(PeerMessages.encodeUsage(this.forwarder.usage()));
+			this.members.forEach((address, member) -> {
+				if (!address.equals(sender)) {
+					usages.add(PeerMessages.encodeUsage(member.usage()));
+				}
+			});
+			reply.set("retiring", PeerMessages.encodeModels(retiring()));
+		}
+		else {
+			this.leadership.holder()
+				.ifPresent((holder) -> reply.put("holder", holder.getHostString() + ":" + holder.getPort()));
+		}
+		if (this.configuration.version() > body.path("version").asLong()) {
+			reply.put("configuration", Base64.getEncoder().encodeToString(this.configuration.document()));
+		}
+		return reply;
+	}
+
+	private void answerAdapter(JsonNode body, ResponseChannel channel) {
+		BackendServerId engine = BackendServerId.of(body.path("engine").asText());
+		CallerRequest.ModelName name = new CallerRequest.ModelName(ModelId.of(body.path("model").asText()),
+				PeerMessages.text(body, "adapter"));
+		this.placement.loadAdapter(engine, name, (isLoaded) -> {
+			if (isLoaded) {
+				this.forwarder.directory().addAdapter(engine, name.toId());
+			}
+			answer(channel, JsonCalls.MAPPER.createObjectNode().put("isLoaded", isLoaded));
+		});
+	}
+
+	@Override
+	public IngressLimits limits() {
+		return IngressLimits.DEFAULTS;
+	}
+
+	/**
+	 * A host that sends beats to this one.
+	 *
+	 * @param usage its usage, not null
+	 * @param demand its demand, not null
+	 * @param seenNanos when its last beat arrived
+	 */
+	private record Member(UsageTotals usage, Map<DemandMeter.Key, DemandMeter.Rate> demand, long seenNanos) {
+	}
+
+}
--- a/forward/src/main/java/org/celeryhill/forward/AdapterLoader.java
+++ b/forward/src/main/java/org/celeryhill/forward/AdapterLoader.java
@@ -9,6 +9,21 @@
  */
 public interface AdapterLoader {
 
+	/**
+	 * A loader for engines that load adapters by themselves.
+	 */
+	AdapterLoader NONE = new AdapterLoader() {
+		@Override
+		public void load(BackendServerId engine, CallerRequest.ModelName name, Consumer<Boolean> done) {
+			done.accept(true);
+		}
+
+		@Override
+		public void used(BackendServerId engine, CallerRequest.ModelName name) {
+			// The engine keeps what it uses.
+		}
+	};
+
 	/**
 	 * Asks for an adapter. Must be called on the event loop.
 	 * @param engine the engine, not null
@@ -17,4 +32,12 @@
 	 */
 	void load(BackendServerId engine, CallerRequest.ModelName name, Consumer<Boolean> done);
 
+	/**
+	 * Called when a request uses an adapter that is loaded. Must be called on the event
+	 * loop.
+	 * @param engine the engine, not null
+	 * @param name the model with its adapter, not null
+	 */
+	void used(BackendServerId engine, CallerRequest.ModelName name);
+
 }
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -143,6 +143,7 @@
 		next.server = server.get();
 		Optional<CallerRequest.ModelName> adapter = this.caller.model().filter((name) -> name.adapter().isPresent());
 		if (adapter.isEmpty() || this.forwarder.directory().hasAdapter(send.backend(), adapter.get().toId())) {
+			adapter.ifPresent((name) -> this.forwarder.adapters().used(send.backend(), name));
 			next.start();
 			return;
 		}
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -74,7 +74,7 @@
 			traffic.observe(view, System.nanoTime());
 			scheduleDispatch();
 		}, traffic::forget);
-		this.adapters = (engine, name, done) -> done.accept(true);
+		this.adapters = AdapterLoader.NONE;
 	}
 
 	/**
@@ -217,7 +217,7 @@
 			this.dialect.encodeRetryAfter(headers, NOT_READY_RETRY);
 		}
 		channel.answer(status, headers, Unpooled.EMPTY_BUFFER);
-		return FinishedCall.INSTANCE;
+		return Running.NONE;
 	}
 
 	void ended(ForwardCall call) {
@@ -293,20 +293,4 @@
 		return this.metrics;
 	}
 
-	private enum FinishedCall implements Running {
-
-		INSTANCE;
-
-		@Override
-		public void callerLeft() {
-			// The answer was written before the caller left.
-		}
-
-		@Override
-		public void callerReads() {
-			// Nothing more is written.
-		}
-
-	}
-
 }
--- a/forward/src/main/java/org/celeryhill/forward/RequestHandler.java
+++ b/forward/src/main/java/org/celeryhill/forward/RequestHandler.java
@@ -24,6 +24,21 @@
 	 */
 	interface Running {
 
+		/**
+		 * Stands for a request that needs no further notice.
+		 */
+		Running NONE = new Running() {
+			@Override
+			public void callerLeft() {
+				// There is nothing to stop.
+			}
+
+			@Override
+			public void callerReads() {
+				// There is nothing more to write.
+			}
+		};
+
 		/**
 		 * Called when the caller has gone before its answer was complete.
 		 */
--- a/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
@@ -184,6 +184,22 @@
 		return state != null && (state.extraAdapters.contains(adapter) || isListed(state.entry, adapter));
 	}
 
+	/**
+	 * Sets the models that are about to leave engines; they take no new requests there.
+	 * @param models the leaving model of each engine, not null
+	 */
+	public void setRetiring(Map<BackendServerId, ModelId> models) {
+		for (Map.Entry<BackendServerId, State> one : this.states.entrySet()) {
+			ModelId next = models.get(one.getKey());
+			State state = one.getValue();
+			if (!java.util.Objects.equals(next, state.retiring)) {
+				LOG.info("model_retiring", "server", one.getKey(), "model", (next != null) ? next : "none");
+				state.retiring = next;
+				publish(state);
+			}
+		}
+	}
+
 	/**
 	 * Publishes all backend servers again, after a change of the configuration.
 	 */
@@ -217,6 +233,9 @@
 		List<EngineReport.Resident> residents = new ArrayList<>();
 		Set<ModelId> held = new HashSet<>();
 		for (ServerEntry.Holding holding : state.entry.models()) {
+			if (holding.model().equals(state.retiring)) {
+				continue;
+			}
 			long bytes = profile.models()
 				.stream()
 				.filter((model) -> model.id().equals(holding.model()))
@@ -229,6 +248,7 @@
 		Set<ModelId> adapters = adapters(state.entry);
 		adapters.addAll(state.extraAdapters);
 		adapters.removeAll(state.missingAdapters);
+		adapters.removeIf((adapter) -> !held.contains(ModelId.of(adapter.value().split("/", 2)[0])));
 		for (ModelId adapter : adapters) {
 			residents.add(new EngineReport.Resident(adapter, 0, EngineReport.ResidentState.READY));
 		}
@@ -261,6 +281,8 @@
 
 		private ServerEntry entry;
 
+		private ModelId retiring;
+
 		private AnswerInfo.Load load;
 
 		private long sequence;
--- /dev/null
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -0,0 +1,238 @@
+package org.celeryhill.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.ModelId;
+
+/**
+ * Chooses the next load or removal of models where engines cannot hold all models at once
+ * and keep copies of weights close by. A model gets a further replica when that serves
+ * more worth than the replicas that make room for it. Stateless and thread-safe.
+ */
+public final class SwapPlanner {
+
+	/** Part of all worth that a swap must gain, by the source of the weights. */
+	private static final double MIN_GAIN_NEAR = 0.01;
+
+	private static final double MIN_GAIN_COLD = 0.03;
+
+	/**
+	 * Worth of a first replica of a model that nobody asks for, as a part of all worth.
+	 */
+	private static final double IDLE_VALUE = 0.0005;
+
+	private SwapPlanner() {
+	}
+
+	/**
+	 * Plans the next steps, at most one for each engine.
+	 * @param engines the engines of one service, not null
+	 * @param models the models of the service with their demand, not null
+	 * @param engineTokensPerSecond the tokens that one engine handles in a second
+	 * @param coldLoads the loads from the weight store that may start now
+	 * @return the steps, most urgent first, never null
+	 */
+	public static List<Step> plan(List<EngineInput> engines, List<ModelInput> models, double engineTokensPerSecond,
+			int coldLoads) {
+		Round round = new Round(engines, models, engineTokensPerSecond, coldLoads);
+		List<Step> steps = new ArrayList<>();
+		Optional<Step> next = round.best();
+		while (next.isPresent()) {
+			steps.add(next.get());
+			round.take(next.get());
+			next = round.best();
+		}
+		return steps;
+	}
+
+	/**
+	 * One engine.
+	 *
+	 * @param id the engine, not null
+	 * @param freeBytes the memory that a load may use
+	 * @param residents the models that it holds or loads, with their sizes
+	 * @param removable the residents that may be removed now
+	 * @param near the models whose weights it has in its host memory or on its disk
+	 * @param isOpen whether it takes a command now
+	 * @param isCounted whether it serves what it holds
+	 */
+	public record EngineInput(BackendServerId id, long freeBytes, Map<ModelId, Long> residents, Set<ModelId> removable,
+			Set<ModelId> near, boolean isOpen, boolean isCounted) {
+
+		/**
+		 * Checks the arguments.
+		 */
+		public EngineInput {
+			Objects.requireNonNull(id, "id");
+			residents = Map.copyOf(residents);
+			removable = Set.copyOf(removable);
+			near = Set.copyOf(near);
+		}
+
+	}
+
+	/**
+	 * One model with its demand over all hosts.
+	 *
+	 * @param id the model, not null
+	 * @param bytes the size of its weights
+	 * @param tokensPerSecond the tokens that are asked for
+	 * @param valuePerSecond the worth that is asked for
+	 */
+	public record ModelInput(ModelId id, long bytes, double tokensPerSecond, double valuePerSecond) {
+
+		/**
+		 * Checks the arguments.
+		 */
+		public ModelInput {
+			Objects.requireNonNull(id, "id");
+		}
+
+	}
+
+	/**
+	 * One step.
+	 *
+	 * @param engine the engine, not null
+	 * @param load the model to load, not null
+	 * @param unload the model to remove first; empty if there is room
+	 * @param isCold whether the weights come from the weight store
+	 * @param gain the worth that it gains in a second
+	 */
+	public record Step(BackendServerId engine, ModelId load, Optional<ModelId> unload, boolean isCold, double gain) {
+	}
+
+	private static final class Round {
+
+		private final Map<BackendServerId, EngineInput> open = new HashMap<>();
+
+		private final Map<ModelId, Integer> replicas = new HashMap<>();
+
+		private final Map<ModelId, ModelInput> models = new HashMap<>();
+
+		private final List<EngineInput> engines;
+
+		private final double capacity;
+
+		private final double totalValue;
+
+		private final Set<ModelId> loading = new HashSet<>();
+
+		private int coldLoads;
+
+		Round(List<EngineInput> engines, List<ModelInput> models, double capacity, int coldLoads) {
+			this.engines = engines;
+			this.capacity = capacity;
+			this.coldLoads = coldLoads;
+			double value = 0;
+			for (ModelInput model : models) {
+				this.models.put(model.id(), model);
+				value += model.valuePerSecond();
+			}
+			this.totalValue = value;
+			for (EngineInput engine : engines) {
+				if (engine.isCounted()) {
+					engine.residents().keySet().forEach((model) -> this.replicas.merge(model, 1, Integer::sum));
+				}
+				if (engine.isOpen()) {
+					this.open.put(engine.id(), engine);
+				}
+			}
+		}
+
+		Optional<Step> best() {
+			List<ModelInput> wanted = new ArrayList<>(this.models.values());
+			wanted.removeIf((model) -> this.loading.contains(model.id()));
+			wanted.sort(Comparator.comparingDouble((ModelInput model) -> -gainOfAdding(model))
+				.thenComparing(ModelInput::id));
+			Step best = null;
+			for (ModelInput model : wanted) {
+				if (best != null && best.gain() >= gainOfAdding(model)) {
+					break;
+				}
+				for (EngineInput engine : this.engines) {
+					Optional<Step> step = this.open.containsKey(engine.id()) ? step(engine, model) : Optional.empty();
+					if (step.isPresent() && (best == null || step.get().gain() > best.gain())) {
+						best = step.get();
+					}
+				}
+			}
+			return Optional.ofNullable(best);
+		}
+
+		private Optional<Step> step(EngineInput engine, ModelInput model) {
+			boolean isCold = !engine.near().contains(model.id());
+			if (engine.residents().containsKey(model.id()) || (isCold && this.coldLoads <= 0)) {
+				return Optional.empty();
+			}
+			double gain = gainOfAdding(model);
+			Optional<ModelId> victim = Optional.empty();
+			if (engine.freeBytes() < model.bytes()) {
+				victim = victim(engine, model.bytes() - engine.freeBytes());
+				if (victim.isEmpty()) {
+					return Optional.empty();
+				}
+				gain -= lossOfRemoving(this.models.get(victim.get()));
+			}
+			double least = this.totalValue * (isCold ? MIN_GAIN_COLD : MIN_GAIN_NEAR);
+			boolean isWorthIt = victim.isPresent() ? gain > least : gain > 0;
+			// Weights that are close by serve sooner, so they win among equals.
+			double score = isCold ? 0.7 * gain : gain;
+			return isWorthIt ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, score)) : Optional.empty();
+		}
+
+		private Optional<ModelId> victim(EngineInput engine, long missing) {
+			ModelId best = null;
+			for (ModelId candidate : engine.removable()) {
+				boolean isLarge = engine.residents().getOrDefault(candidate, 0L) >= missing;
+				boolean isKnown = this.models.containsKey(candidate);
+				if (isLarge && isKnown && (best == null
+						|| lossOfRemoving(this.models.get(candidate)) < lossOfRemoving(this.models.get(best)))) {
+					best = candidate;
+				}
+			}
+			return Optional.ofNullable(best);
+		}
+
+		private double gainOfAdding(ModelInput model) {
+			int count = this.replicas.getOrDefault(model.id(), 0);
+			return value(model, count + 1) - value(model, count);
+		}
+
+		private double lossOfRemoving(ModelInput model) {
+			int count = this.replicas.getOrDefault(model.id(), 0);
+			return value(model, count) - value(model, count - 1);
+		}
+
+		// The part of the demand that is served in time grows ever more slowly with each
+		// replica, as an engine shares its time between the models it holds.
+		private double value(ModelInput model, int count) {
+			if (count <= 0) {
+				return 0;
+			}
+			double idle = IDLE_VALUE * Math.max(1, this.totalValue);
+			double load = Math.max(1, model.tokensPerSecond());
+			double served = 1 - Math.exp(-count * this.capacity / (2 * load));
+			return idle + model.valuePerSecond() * served;
+		}
+
+		void take(Step step) {
+			this.open.remove(step.engine());
+			this.loading.add(step.load());
+			this.replicas.merge(step.load(), 1, Integer::sum);
+			step.unload().ifPresent((model) -> this.replicas.merge(model, -1, Integer::sum));
+			this.coldLoads -= step.isCold() ? 1 : 0;
+		}
+
+	}
+
+}
