--- a/edge/src/main/java/org/celeryhill/edge/DemandMeter.java
+++ b/edge/src/main/java/org/celeryhill/edge/DemandMeter.java
@@ -14,18 +14,26 @@
 final class DemandMeter implements DemandListener {
 
 	/** Demand moves every few seconds, so older requests say little. */
-	private static final double MEMORY_SECONDS = 2.5;
+	private static final double MEMORY_SECONDS = 4;
 
 	private static final double LEAST_RATE = 0.01;
 
 	private final Map<Key, Rates> rates = new HashMap<>();
 
 	@Override
-	public void requested(ServiceId service, ModelId model, int tokens, double value) {
+	public void requested(ServiceId service, ModelId model, double value) {
+		find(service, model).value += value / MEMORY_SECONDS;
+	}
+
+	@Override
+	public void late(ServiceId service, ModelId model, double value) {
+		find(service, model).late += value / MEMORY_SECONDS;
+	}
+
+	private Rates find(ServiceId service, ModelId model) {
 		Rates found = this.rates.computeIfAbsent(new Key(service, model), (key) -> new Rates());
 		found.decay(System.nanoTime());
-		found.tokens += tokens / MEMORY_SECONDS;
-		found.value += value / MEMORY_SECONDS;
+		return found;
 	}
 
 	// Returns the rates of all models that are asked for.
@@ -36,7 +44,7 @@
 			one.decay(now);
 			return one.value < LEAST_RATE;
 		});
-		this.rates.forEach((key, one) -> result.put(key, new Rate(one.tokens, one.value)));
+		this.rates.forEach((key, one) -> result.put(key, new Rate(one.value, one.late)));
 		return result;
 	}
 
@@ -52,29 +60,29 @@
 	/**
 	 * Demand for one model.
 	 *
-	 * @param tokensPerSecond the tokens that are asked for
 	 * @param valuePerSecond the worth that is asked for
+	 * @param latePerSecond the worth that was answered late or not at all
 	 */
-	record Rate(double tokensPerSecond, double valuePerSecond) {
+	record Rate(double valuePerSecond, double latePerSecond) {
 
 		Rate plus(Rate other) {
-			return new Rate(this.tokensPerSecond + other.tokensPerSecond, this.valuePerSecond + other.valuePerSecond);
+			return new Rate(this.valuePerSecond + other.valuePerSecond, this.latePerSecond + other.latePerSecond);
 		}
 
 	}
 
 	private static final class Rates {
 
-		private double tokens;
-
 		private double value;
 
+		private double late;
+
 		private long updated = System.nanoTime();
 
 		private void decay(long now) {
 			double part = Math.exp(-(now - this.updated) / 1e9 / MEMORY_SECONDS);
-			this.tokens *= part;
 			this.value *= part;
+			this.late *= part;
 			this.updated = now;
 		}
 
--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -49,7 +49,7 @@
 	private static final long CONTROL_MS = 50;
 
 	/** Duration of the lease as a part of the time between commands of two holders. */
-	private static final long LEASE_PERCENT = 150;
+	private static final long LEASE_PERCENT = 100;
 
 	/** Time after SIGTERM in which the balancer notices that this host is not ready. */
 	private static final Duration BALANCER_DELAY = Duration.ofMillis(3500);
--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -47,6 +47,8 @@
 	/** An adapter that was asked for later than this ago may be in use. */
 	private static final long ADAPTER_IDLE_MS = 1500;
 
+	private static final long MIN_STAY_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	private static final long MODEL_TIMEOUT_MS = 25_000;
 
 	/** Sends of one command that gets no answer, before the state is asked for. */
@@ -68,6 +70,8 @@
 
 	private final Set<ModelId> residents = new HashSet<>();
 
+	private final Map<ModelId, Long> loadedNanos = new HashMap<>();
+
 	private ServerEntry entry;
 
 	private EngineProfile profile;
@@ -97,14 +101,6 @@
 	void update(ServerEntry next, EngineProfile nextProfile) {
 		this.entry = next;
 		this.profile = nextProfile;
-		if (this.count < 0 || next.commandCount() < this.count) {
-			return;
-		}
-		if (next.commandCount() > this.count) {
-			LOG.info("engine_count_differs", "engine", next.id(), "expected", this.count, "seen", next.commandCount());
-			resync();
-			return;
-		}
 		this.change.ifPresent((one) -> {
 			boolean isHeld = models(next).contains(one.model());
 			if (one.isSent() && isHeld == one.isLoad()) {
@@ -124,6 +120,7 @@
 				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - done.decidedNanos()));
 		if (done.isLoad()) {
 			this.residents.add(done.model());
+			this.loadedNanos.put(done.model(), System.nanoTime());
 		}
 		else {
 			this.residents.remove(done.model());
@@ -162,6 +159,15 @@
 		return this.residents;
 	}
 
+	// Models that have served for a while, so that a load pays before it is undone.
+	Set<ModelId> removable() {
+		long now = System.nanoTime();
+		Set<ModelId> removable = new HashSet<>(this.residents);
+		removable
+			.removeIf((model) -> now - this.loadedNanos.getOrDefault(model, now - MIN_STAY_NANOS) < MIN_STAY_NANOS);
+		return removable;
+	}
+
 	Optional<ModelChange> change() {
 		return this.change;
 	}
@@ -226,9 +232,7 @@
 			resync();
 			return;
 		}
-		if (this.change.filter(ModelChange::isSent).isEmpty()) {
-			pumpAdapters(lease.get());
-		}
+		pumpAdapters(lease.get());
 	}
 
 	private void ask() {
@@ -350,7 +354,9 @@
 				}, ADAPTER_READY_MS, TimeUnit.MILLISECONDS);
 			}
 			else {
-				if (outcome != PlatformEngines.Outcome.NOT_SENT) {
+				boolean isBusy = outcome == PlatformEngines.Outcome.REFUSED
+						&& this.change.filter(ModelChange::isSent).isPresent();
+				if (outcome != PlatformEngines.Outcome.NOT_SENT && !isBusy) {
 					resync();
 				}
 				job.done().accept(false);
--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -25,9 +25,7 @@
 	private static final EventLog LOG = EventLog.of(Leadership.class);
 
 	/** Added to the time between the commands of two holders. */
-	private static final Duration TURN_SLACK = Duration.ofMillis(500);
-
-	private static final long FIRST_TOKEN = 1;
+	private static final Duration TURN_SLACK = Duration.ofMillis(300);
 
 	private static final LeaseName NAME = LeaseName.of("placement");
 
@@ -55,6 +53,8 @@
 
 	private long firstCommandNanos;
 
+	private long lastToken;
+
 	private boolean isCalling;
 
 	private boolean isStopping;
@@ -122,16 +122,24 @@
 
 	private void granted(Optional<Lease> before, Lease next) {
 		if (before.isEmpty()) {
-			boolean isFirst = next.token().value() == FIRST_TOKEN;
-			Duration wait = isFirst ? Duration.ZERO : this.turn.plus(TURN_SLACK);
+			// Nobody else held the lease if the token is the next one after this host's
+			// own.
+			boolean isAlone = next.token().value() == this.lastToken + 1;
+			Duration wait = isAlone ? Duration.ZERO : turnWait();
 			this.firstCommandNanos = System.nanoTime() + wait.toNanos();
 			LOG.info("lease_granted", "token", next.token().value(), "commands_after_ms", wait.toMillis());
 			this.metrics.leaseHeld(true);
 		}
 		this.lease = Optional.of(next);
+		this.lastToken = next.token().value();
 		this.holder = Optional.empty();
 	}
 
+	// A holder stops to send commands a third of the duration before its lease ends.
+	private Duration turnWait() {
+		return this.turn.plus(TURN_SLACK).minus(this.duration.dividedBy(3));
+	}
+
 	private void heldBy(HostId other) {
 		try {
 			Optional<InetSocketAddress> address = Optional.of(ServerCodec.address(other.value()));
@@ -177,13 +185,18 @@
 		return this.holder;
 	}
 
-	// Gives the lease back.
-	void stop() {
-		this.isStopping = true;
-		this.lease.ifPresent((held) -> this.worker.execute(() -> {
+	private void release(Lease held) {
+		this.worker.execute(() -> {
 			Object result = this.leases.release(held);
 			LOG.info("lease_released", "token", held.token().value(), "result", result);
-		}));
+		});
+	}
+
+	// Gives the lease back, as long after the last command as it would have run out.
+	void stop() {
+		this.isStopping = true;
+		this.lease.ifPresent((held) -> this.loop.schedule(() -> release(held), this.duration.dividedBy(3).toNanos(),
+				TimeUnit.NANOSECONDS));
 		lost();
 	}
 
--- a/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -54,8 +54,8 @@
 		rates.forEach((key, rate) -> list.addObject()
 			.put("service", key.service().value())
 			.put("model", key.model().value())
-			.put("tokens", rate.tokensPerSecond())
-			.put("value", rate.valuePerSecond()));
+			.put("value", rate.valuePerSecond())
+			.put("late", rate.latePerSecond()));
 		return list;
 	}
 
@@ -65,7 +65,7 @@
 			rates.put(
 					new DemandMeter.Key(ServiceId.of(node.path("service").asText()),
 							ModelId.of(node.path("model").asText())),
-					new DemandMeter.Rate(node.path("tokens").asDouble(), node.path("value").asDouble()));
+					new DemandMeter.Rate(node.path("value").asDouble(), node.path("late").asDouble()));
 		}
 		return rates;
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -43,15 +43,14 @@
 	/** A copy of a command from before a restart may arrive for this long. */
 	private static final long LATE_COMMAND_NANOS = TimeUnit.SECONDS.toNanos(13);
 
-	/** Tokens that an engine reads and writes in a second when it is busy. */
-	private static final double ENGINE_TOKENS_PER_SECOND = 12_000;
-
 	private final Map<BackendServerId, EngineCommander> commanders = new HashMap<>();
 
 	private final Map<BackendServerId, Long> incarnations = new HashMap<>();
 
 	private final Map<BackendServerId, Long> restarts = new HashMap<>();
 
+	private final Map<DemandMeter.Key, Long> unservedSince = new HashMap<>();
+
 	private final Deque<Long> coldLoads = new ArrayDeque<>();
 
 	private final EventLoop loop;
@@ -148,8 +147,8 @@
 			DemandMeter.Rate rate = rates.getOrDefault(new DemandMeter.Key(service, model.id()),
 					new DemandMeter.Rate(0, 0));
 			sizes.put(model.id(), model.bytes());
-			models.add(new SwapPlanner.ModelInput(model.id(), model.bytes(), rate.tokensPerSecond(),
-					rate.valuePerSecond()));
+			models.add(new SwapPlanner.ModelInput(model.id(), model.bytes(), rate.valuePerSecond(),
+					rate.latePerSecond(), unservedSeconds(service, model.id(), rate)));
 		}
 		List<SwapPlanner.EngineInput> inputs = new ArrayList<>();
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
@@ -157,12 +156,22 @@
 				inputs.add(input(entry, this.commanders.get(entry.id()), sizes));
 			}
 		}
-		for (SwapPlanner.Step step : SwapPlanner.plan(inputs, models, ENGINE_TOKENS_PER_SECOND,
-				allowedLoads(profile))) {
+		for (SwapPlanner.Step step : SwapPlanner.plan(inputs, models, allowedLoads(profile))) {
 			carryOut(step);
 		}
 	}
 
+	private double unservedSeconds(ServiceId service, ModelId model, DemandMeter.Rate rate) {
+		DemandMeter.Key key = new DemandMeter.Key(service, model);
+		boolean isServed = rate.valuePerSecond() <= 0
+				|| this.commanders.values().stream().anyMatch((one) -> one.residents().contains(model));
+		if (isServed) {
+			this.unservedSince.remove(key);
+			return 0;
+		}
+		return (System.nanoTime() - this.unservedSince.computeIfAbsent(key, (one) -> System.nanoTime())) / 1e9;
+	}
+
 	private SwapPlanner.EngineInput input(ServerEntry entry, EngineCommander commander, Map<ModelId, Long> sizes) {
 		Map<ModelId, Long> residents = new HashMap<>();
 		commander.residents().forEach((model) -> residents.put(model, sizes.getOrDefault(model, 0L)));
@@ -182,7 +191,7 @@
 			reserve = sizes.values().stream().mapToLong(Long::longValue).max().orElse(0);
 		}
 		return new SwapPlanner.EngineInput(entry.id(), commander.freeBytes() - reserve, residents,
-				Set.copyOf(residents.keySet()), near, commander.isOpen() && !entry.isDraining(), !entry.isDraining());
+				commander.removable(), near, commander.isOpen() && !entry.isDraining(), !entry.isDraining());
 	}
 
 	private int allowedLoads(EngineProfile profile) {
--- a/forward/src/main/java/org/celeryhill/forward/DemandListener.java
+++ b/forward/src/main/java/org/celeryhill/forward/DemandListener.java
@@ -11,16 +11,32 @@
 	/**
 	 * A listener that does nothing.
 	 */
-	DemandListener NONE = (service, model, tokens, value) -> {
+	DemandListener NONE = new DemandListener() {
+		@Override
+		public void requested(ServiceId service, ModelId model, double value) {
+			// Nobody wants to know.
+		}
+
+		@Override
+		public void late(ServiceId service, ModelId model, double value) {
+			// Nobody wants to know.
+		}
 	};
 
 	/**
 	 * Called when a request for a model arrives.
 	 * @param service the service, not null
 	 * @param model the model without an adapter, not null
-	 * @param tokens the tokens of the prompt and at most of the answer
 	 * @param value the relative worth of the request
 	 */
-	void requested(ServiceId service, ModelId model, int tokens, double value);
+	void requested(ServiceId service, ModelId model, double value);
+
+	/**
+	 * Called when a request got its first event late or ended without one.
+	 * @param service the service, not null
+	 * @param model the model without an adapter, not null
+	 * @param value the relative worth of the request
+	 */
+	void late(ServiceId service, ModelId model, double value);
 
 }
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -112,8 +112,7 @@
 	void offer() {
 		this.caller.model()
 			.ifPresent((name) -> this.forwarder.demand()
-				.requested(this.service, name.model(), this.caller.promptTokens() + this.caller.maxTokens(),
-						value(this.request.priority())));
+				.requested(this.service, name.model(), value(this.request.priority())));
 		Optional<TrafficAction.Refuse> refusal = this.forwarder.traffic().offer(this.request, System.nanoTime());
 		if (refusal.isPresent()) {
 			refused(refusal.get());
@@ -123,6 +122,12 @@
 		}
 	}
 
+	private void noteLate() {
+		this.caller.model()
+			.ifPresent(
+					(name) -> this.forwarder.demand().late(this.service, name.model(), value(this.request.priority())));
+	}
+
 	private static double value(PriorityClass priority) {
 		return 1 << (PriorityClass.values().length - 1 - priority.ordinal());
 	}
@@ -200,8 +205,10 @@
 	private void again(String reason) {
 		boolean isAllowed = !this.mayHaveRun || (this.route.isRepeatable() && this.runs < this.route.maxAttempts());
 		if (isAllowed && System.nanoTime() < this.endNanos) {
-			Optional<TrafficAction.Refuse> refusal = this.forwarder.traffic()
-				.retry(this.request, this.attempt.id, System.nanoTime());
+			long now = System.nanoTime();
+			Optional<TrafficAction.Refuse> refusal = this.attempt.wasSent()
+					? this.forwarder.traffic().retry(this.request, this.attempt.id, now)
+					: this.forwarder.traffic().reroute(this.request, this.attempt.id, now);
 			LOG.info("request_again", "request", this.key, "reason", reason, "attempt", this.attempt.id, "server",
 					this.attempt.serverId(), "runs", this.runs, "refused",
 					refusal.map((one) -> one.reason().name()).orElse("no"));
@@ -264,6 +271,9 @@
 	private void finish(int status, String reason) {
 		this.isEnded = true;
 		this.expiry.cancel(false);
+		if (this.events == 0) {
+			noteLate();
+		}
 		this.incoming.body().release();
 		if (this.attempt != null && !this.attempt.isOrphaned) {
 			this.attempt.cancel();
@@ -309,6 +319,10 @@
 			return (this.server != null) ? this.server.id().value() : "none";
 		}
 
+		private boolean wasSent() {
+			return this.exchange != null && this.exchange.isWritten();
+		}
+
 		private boolean isOpen() {
 			return this.exchange != null && !this.isFinished && this.exchange.isWritten();
 		}
@@ -422,6 +436,9 @@
 		private void firstEvent() {
 			long waited = System.nanoTime() - ForwardCall.this.incoming.arrivedNanos();
 			ForwardCall.this.forwarder.metrics().firstEvent(waited / 1e9);
+			if (waited > ForwardCall.this.route.targetLatency().toNanos()) {
+				noteLate();
+			}
 			ForwardCall.this.request.model()
 				.ifPresent((model) -> ForwardCall.this.forwarder.learnPrefix(this.server.id(), model,
 						ForwardCall.this.prefix));
--- a/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
@@ -78,6 +78,11 @@
 			state.load = null;
 			state.extraAdapters.clear();
 		}
+		else if (entry.heartbeat() < state.entry.heartbeat()) {
+			LOG.info("server_entry_stale", "server", entry.id(), "heartbeat", entry.heartbeat(), "known",
+					state.entry.heartbeat(), "version", version);
+			return;
+		}
 		else if (state.entry.isDraining() != entry.isDraining()) {
 			log("server_draining", entry, version);
 		}
--- a/forward/src/main/java/org/celeryhill/forward/ServerEntry.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerEntry.java
@@ -24,11 +24,12 @@
  * @param models the models that it holds
  * @param copiesInMemory the models with a copy in its host memory
  * @param copiesOnDisk the models with a copy on its disk
- * @param commandCount the commands that it accepted since its start
+ * @param heartbeat the number of the heartbeat that this entry comes from, rising within
+ * one life
  */
 public record ServerEntry(BackendServerId id, long incarnation, ServiceId service, InetSocketAddress address,
 		DataCentre dataCentre, int slots, boolean isDraining, List<Holding> models, Set<ModelId> copiesInMemory,
-		Set<ModelId> copiesOnDisk, long commandCount) {
+		Set<ModelId> copiesOnDisk, long heartbeat) {
 
 	/**
 	 * Checks the arguments.
--- a/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
+++ b/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
@@ -182,6 +182,11 @@
 		return Optional.empty();
 	}
 
+	@Override
+	public Optional<TrafficAction.Refuse> reroute(TrafficRequest request, AttemptId failed, long now) {
+		return retry(request, failed, now);
+	}
+
 	@Override
 	public void cancel(RequestId request) {
 		this.waiting.remove(request);
--- a/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -20,15 +20,30 @@
  */
 public final class SwapPlanner {
 
-	/** Part of all worth that a swap must gain, by the source of the weights. */
-	private static final double MIN_GAIN_NEAR = 0.01;
+	/** Part of all worth that a further replica must gain by making others leave. */
+	private static final double MIN_GAIN = 0.04;
 
-	private static final double MIN_GAIN_COLD = 0.03;
+	/**
+	 * Part of the worth that comes late which a further replica is expected to rescue.
+	 */
+	private static final double RESCUED = 0.6;
+
+	/** Each second without a replica raises the worth of the first one by this factor. */
+	private static final double UNSERVED_FACTOR = 1;
+
+	/** Worth in a second of keeping the only replica of a model that nobody asks for. */
+	private static final double IDLE_VALUE = 0.02;
+
+	/** Worth in a second below which the demand says too little to remove a model. */
+	private static final double MIN_KNOWN_VALUE = 5;
+
+	/** Part of a model's worth that is at risk when one of two replicas leaves. */
+	private static final double SECOND_REPLICA = 0.3;
 
 	/**
-	 * Worth of a first replica of a model that nobody asks for, as a part of all worth.
+	 * Weights from the weight store take so long that only a part of the gain is left.
 	 */
-	private static final double IDLE_VALUE = 0.0005;
+	private static final double COLD_PART = 0.7;
 
 	private SwapPlanner() {
 	}
@@ -37,13 +52,11 @@
 	 * Plans the next steps, at most one for each engine.
 	 * @param engines the engines of one service, not null
 	 * @param models the models of the service with their demand, not null
-	 * @param engineTokensPerSecond the tokens that one engine handles in a second
 	 * @param coldLoads the loads from the weight store that may start now
 	 * @return the steps, most urgent first, never null
 	 */
-	public static List<Step> plan(List<EngineInput> engines, List<ModelInput> models, double engineTokensPerSecond,
-			int coldLoads) {
-		Round round = new Round(engines, models, engineTokensPerSecond, coldLoads);
+	public static List<Step> plan(List<EngineInput> engines, List<ModelInput> models, int coldLoads) {
+		Round round = new Round(engines, models, coldLoads);
 		List<Step> steps = new ArrayList<>();
 		Optional<Step> next = round.best();
 		while (next.isPresent()) {
@@ -85,10 +98,12 @@
 	 *
 	 * @param id the model, not null
 	 * @param bytes the size of its weights
-	 * @param tokensPerSecond the tokens that are asked for
 	 * @param valuePerSecond the worth that is asked for
+	 * @param latePerSecond the worth that was answered late or not at all
+	 * @param unservedSeconds the time for which requests have waited without a replica
 	 */
-	public record ModelInput(ModelId id, long bytes, double tokensPerSecond, double valuePerSecond) {
+	public record ModelInput(ModelId id, long bytes, double valuePerSecond, double latePerSecond,
+			double unservedSeconds) {
 
 		/**
 		 * Checks the arguments.
@@ -121,17 +136,14 @@
 
 		private final List<EngineInput> engines;
 
-		private final double capacity;
-
 		private final double totalValue;
 
 		private final Set<ModelId> loading = new HashSet<>();
 
 		private int coldLoads;
 
-		Round(List<EngineInput> engines, List<ModelInput> models, double capacity, int coldLoads) {
+		Round(List<EngineInput> engines, List<ModelInput> models, int coldLoads) {
 			this.engines = engines;
-			this.capacity = capacity;
 			this.coldLoads = coldLoads;
 			double value = 0;
 			for (ModelInput model : models) {
@@ -177,17 +189,20 @@
 			double gain = gainOfAdding(model);
 			Optional<ModelId> victim = Optional.empty();
 			if (engine.freeBytes() < model.bytes()) {
+				if (this.totalValue < MIN_KNOWN_VALUE) {
+					return Optional.empty();
+				}
 				victim = victim(engine, model.bytes() - engine.freeBytes());
 				if (victim.isEmpty()) {
 					return Optional.empty();
 				}
 				gain -= lossOfRemoving(this.models.get(victim.get()));
 			}
-			double least = this.totalValue * (isCold ? MIN_GAIN_COLD : MIN_GAIN_NEAR);
-			boolean isWorthIt = victim.isPresent() ? gain > least : gain > 0;
-			// Weights that are close by serve sooner, so they win among equals.
-			double score = isCold ? 0.7 * gain : gain;
-			return isWorthIt ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, score)) : Optional.empty();
+			boolean isFirst = this.replicas.getOrDefault(model.id(), 0) == 0;
+			double least = isFirst ? 0 : this.totalValue * MIN_GAIN;
+			double score = isCold ? COLD_PART * gain : gain;
+			return (score > least) ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, score))
+					: Optional.empty();
 		}
 
 		private Optional<ModelId> victim(EngineInput engine, long missing) {
@@ -205,24 +220,18 @@
 
 		private double gainOfAdding(ModelInput model) {
 			int count = this.replicas.getOrDefault(model.id(), 0);
-			return value(model, count + 1) - value(model, count);
+			if (count == 0) {
+				return IDLE_VALUE + model.valuePerSecond() * (1 + UNSERVED_FACTOR * model.unservedSeconds());
+			}
+			return RESCUED * model.latePerSecond() / count;
 		}
 
 		private double lossOfRemoving(ModelInput model) {
 			int count = this.replicas.getOrDefault(model.id(), 0);
-			return value(model, count) - value(model, count - 1);
-		}
-
-		// The part of the demand that is served in time grows ever more slowly with each
-		// replica, as an engine shares its time between the models it holds.
-		private double value(ModelInput model, int count) {
-			if (count <= 0) {
-				return 0;
+			if (count <= 1) {
+				return IDLE_VALUE + model.valuePerSecond();
 			}
-			double idle = IDLE_VALUE * Math.max(1, this.totalValue);
-			double load = Math.max(1, model.tokensPerSecond());
-			double served = 1 - Math.exp(-count * this.capacity / (2 * load));
-			return idle + model.valuePerSecond() * served;
+			return model.latePerSecond() + SECOND_REPLICA * model.valuePerSecond() / (count * (count - 1));
 		}
 
 		void take(Step step) {
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -383,6 +383,15 @@
 		return requeue(pending, request, ended, now);
 	}
 
+	@Override
+	public Optional<TrafficAction.Refuse> reroute(TrafficRequest request, AttemptId ended, long now) {
+		PendingRequest pending = this.table.takeFailed(request.id());
+		if (pending == null) {
+			return refuse(request.id(), TrafficAction.Reason.RETRIES_EXHAUSTED, DEFAULT_RETRY_AFTER, now);
+		}
+		return requeue(pending, request, ended, now);
+	}
+
 	private Optional<TrafficAction.Refuse> requeue(PendingRequest pending, TrafficRequest request, AttemptId ended,
 			long now) {
 		ServicePool pool = this.pools.get(request.service());
--- a/traffic/src/main/java/org/celeryhill/traffic/TrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/TrafficController.java
@@ -87,6 +87,17 @@
 	 */
 	java.util.Optional<TrafficAction.Refuse> retry(TrafficRequest request, AttemptId failed, long now);
 
+	/**
+	 * Queues a request again whose attempt has ended before anything was sent. It avoids
+	 * the backend servers that failed it and draws on no retry budget.
+	 * @param request the request, not null
+	 * @param failed the attempt that ended, not null
+	 * @param now the time in nanoseconds
+	 * @return empty if the request is queued again, else the refusal (no backend server
+	 * left, deadline)
+	 */
+	java.util.Optional<TrafficAction.Refuse> reroute(TrafficRequest request, AttemptId failed, long now);
+
 	/**
 	 * Removes a request whose caller is gone from the queue.
 	 * @param request the request, not null; unknown ones are ignored
