Close idle connections and the listener during a graceful stop

Change: once the balancer had time to notice (2.8 s) the listener and idle connections close, running requests go on. Test: FrontServerTests; further tests of routes, events and the data path.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -52,7 +52,7 @@
 	private static final long LEASE_PERCENT = 100;
 
 	/** Time after SIGTERM in which the balancer notices that this host is not ready. */
-	private static final Duration BALANCER_DELAY = Duration.ofMillis(3500);
+	private static final Duration BALANCER_DELAY = Duration.ofMillis(2800);
 
 	/** Part of the grace period that is left for the end of the process. */
 	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
@@ -210,12 +210,15 @@
 		long elapsed = System.nanoTime() - this.stopNanos;
 		boolean isNoticed = elapsed > BALANCER_DELAY.toNanos();
 		boolean isOver = elapsed > this.settings.grace().minus(EXIT_RESERVE).toNanos();
+		if (isNoticed) {
+			// A request that came later could not be finished within the grace period.
+			this.front.closeIdle();
+		}
 		if (!isOver && (!isNoticed || this.forwarder.activeCount() > 0)) {
 			return;
 		}
 		LOG.info("edge_stopped", "host", this.settings.hostId, "abandoned", this.forwarder.activeCount());
 		this.forwarder.abandonAll();
-		this.front.closeIdle();
 		this.loop.schedule(done, HOUSEKEEPING_MS / 10, TimeUnit.MILLISECONDS);
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/FrontServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/FrontServer.java
@@ -127,9 +127,13 @@
 	}
 
 	/**
-	 * Closes the connections that have no request.
+	 * Stops to listen and closes the connections that have no request. Running requests
+	 * go on.
 	 */
 	public void closeIdle() {
+		if (this.listener.isOpen()) {
+			this.listener.close();
+		}
 		for (FrontConnection connection : Set.copyOf(this.connections)) {
 			connection.closeIfIdle();
 		}
@@ -150,9 +154,7 @@
 	 * Stops to listen and closes all connections.
 	 */
 	public void close() {
-		if (this.listener != null) {
-			this.listener.close();
-		}
+		this.listener.close();
 		for (FrontConnection connection : Set.copyOf(this.connections)) {
 			connection.abort();
 		}
--- /dev/null
+++ b/forward/src/test/java/org/celeryhill/forward/PlainDialect.java
@@ -0,0 +1,43 @@
+package org.celeryhill.forward;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import org.celeryhill.base.ModelId;
+
+/**
+ * Header names of the tests of the data path.
+ */
+final class PlainDialect implements HeaderDialect {
+
+	@Override
+	public CallerRequest decodeRequest(HttpHeaders headers) {
+		Optional<CallerRequest.ModelName> model = Optional.ofNullable(headers.get("model"))
+			.map((name) -> new CallerRequest.ModelName(ModelId.of(name), Optional.ofNullable(headers.get("adapter"))));
+		return new CallerRequest(Optional.ofNullable(headers.get("id")),
+				Optional.ofNullable(headers.get("deadline")).map(Long::valueOf).map(Duration::ofMillis), model, 100, 10,
+				List.of(), Optional.ofNullable(headers.get("after")));
+	}
+
+	@Override
+	public AnswerInfo decodeAnswer(HttpResponse response) {
+		return new AnswerInfo(Optional.ofNullable(response.headers().get("id")), response.headers().contains("signed"),
+				response.headers().contains("not-run"), Optional.empty());
+	}
+
+	@Override
+	public void encode(HttpHeaders headers, Send send) {
+		headers.set("deadline", send.remaining().toMillis());
+		headers.set("server", send.server().value());
+		send.resumeAfter().ifPresent((id) -> headers.set("after", id));
+	}
+
+	@Override
+	public void encodeRetryAfter(HttpHeaders headers, Duration delay) {
+		headers.set("retry-after", delay.toMillis());
+	}
+
+}
