Test the platform's adapter, the lease, commands and swaps on stand-ins

Cause: a host that regained its own lease waited for the turn of another holder (found by LeadershipTests, which failed first).

--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -122,9 +122,9 @@
 
 	private void granted(Optional<Lease> before, Lease next) {
 		if (before.isEmpty()) {
-			// Nobody else held the lease if the token is the next one after this host's
+			// Nobody else held the lease if the token is this host's own or the next
 			// own.
-			boolean isAlone = next.token().value() == this.lastToken + 1;
+			boolean isAlone = next.token().value() <= this.lastToken + 1;
 			Duration wait = isAlone ? Duration.ZERO : turnWait();
 			this.firstCommandNanos = System.nanoTime() + wait.toNanos();
 			LOG.info("lease_granted", "token", next.token().value(), "commands_after_ms", wait.toMillis());
--- /dev/null
+++ b/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
@@ -0,0 +1,151 @@
+package org.celeryhill.edge;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.celeryhill.base.ModelId;
+import org.celeryhill.forward.CallerRequest;
+import org.celeryhill.forward.EngineProfile;
+import org.celeryhill.forward.ServerEntry;
+import org.celeryhill.platform.EngineStandin;
+import org.celeryhill.platform.PlatformEngines;
+import org.celeryhill.platform.ServerCodec;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the commands to one engine.
+ */
+@Timeout(40)
+class EngineCommanderTests {
+
+	private static final ModelId ONE = ModelId.of("one");
+
+	private static final ModelId TWO = ModelId.of("two");
+
+	private ControlFixture fixture;
+
+	private EngineStandin engine;
+
+	private Leadership leadership;
+
+	private EngineCommander commander;
+
+	private long heartbeat;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new ControlFixture();
+		this.engine = new EngineStandin("i-1", 100, Map.of("one", 70L, "two", 70L)).holding("one");
+		this.leadership = this.fixture.leadership("10.0.0.1:80");
+		this.commander = new EngineCommander(this.fixture.loop.loop(),
+				PlatformEngines.create(this.fixture.loop.calls()), this.leadership, new EdgeMetrics(), "h1", entry(),
+				profile());
+		this.fixture.until("state is known", this::tick, this.commander::isOpen);
+	}
+
+	@AfterEach
+	void stop() {
+		this.engine.close();
+		this.fixture.close();
+	}
+
+	private static EngineProfile profile() {
+		List<EngineProfile.Model> models = List.of(model(ONE), model(TWO));
+		return new EngineProfile(8, 1000, 2, 100_000_000L, 2, 1, models);
+	}
+
+	private static EngineProfile.Model model(ModelId id) {
+		return new EngineProfile.Model(id, 70_000_000L, 4, 1, Duration.ofSeconds(1), Duration.ofSeconds(1),
+				Duration.ofSeconds(1));
+	}
+
+	private ServerEntry entry() {
+		return ServerCodec.decode(this.engine.id(), this.engine.entry("s", ++this.heartbeat).getBytes());
+	}
+
+	private void tick() {
+		this.leadership.tick();
+		this.commander.update(entry(), profile());
+		this.commander.pump();
+	}
+
+	private static CallerRequest.ModelName adapter(String name) {
+		return new CallerRequest.ModelName(ONE, Optional.of(name));
+	}
+
+	// Guards against a swap that has both models in memory at once.
+	@Test
+	void unloadsBeforeItLoads() throws Exception {
+		assertThat(this.commander.freeBytes()).isLessThan(70_000_000L);
+		this.fixture.run(() -> this.commander.unload(ONE, "test"));
+		this.fixture.until("unloaded", this::tick, this.commander::isOpen);
+		assertThat(this.engine.models()).isEmpty();
+		this.fixture.run(() -> this.commander.load(TWO, false, "test"));
+		this.fixture.until("loaded", this::tick, this.commander::isOpen);
+		assertThat(this.engine.models()).containsExactly("two");
+		assertThat(this.engine.isOvercommitted()).isFalse();
+	}
+
+	// Guards against a command without an answer that takes effect beside its repetition.
+	@Test
+	void repeatsACommandWithTheSameCount() throws Exception {
+		this.engine.answerLate(1, 1500);
+		this.fixture.run(() -> this.commander.unload(ONE, "test"));
+		this.fixture.until("unloaded", this::tick, this.commander::isOpen);
+		this.fixture.run(() -> this.commander.load(ONE, false, "test"));
+		this.fixture.until("loaded again", this::tick, this.commander::isOpen);
+		Thread.sleep(1200);
+		assertThat(this.engine.models()).containsExactly("one");
+		List<Long> counts = new ArrayList<>();
+		for (JsonNode command : this.engine.commands()) {
+			counts.add(command.path("expected").asLong());
+		}
+		assertThat(counts).containsExactly(0L, 0L, 1L);
+	}
+
+	// Guards against more adapters than an engine has places for.
+	@Test
+	void staysWithinTheAdapterPlaces() throws Exception {
+		List<String> loaded = new ArrayList<>();
+		for (String name : List.of("a1", "a2", "a3")) {
+			this.fixture.run(() -> this.commander.loadAdapter(adapter(name), (isLoaded) -> {
+				if (isLoaded) {
+					loaded.add(name);
+				}
+			}));
+			for (int i = 0; i < 20; i++) {
+				this.fixture.run(this::tick);
+				assertThat(this.engine.adapters("one")).hasSizeLessThanOrEqualTo(2);
+				Thread.sleep(10);
+			}
+		}
+		assertThat(loaded).containsExactly("a1", "a2");
+		for (int i = 0; i < 80; i++) {
+			this.fixture.run(this::tick);
+			Thread.sleep(20);
+		}
+		this.fixture.run(() -> this.commander.loadAdapter(adapter("a4"), (isLoaded) -> loaded.add("a4:" + isLoaded)));
+		this.fixture.until("an idle adapter makes room", this::tick, () -> loaded.contains("a4:true"));
+		assertThat(this.engine.adapters("one")).hasSize(2).contains("a4");
+	}
+
+	// Guards against a request that waits for an adapter of a model that has left.
+	@Test
+	void refusesAdaptersOfModelsThatLeave() throws Exception {
+		List<Boolean> results = new ArrayList<>();
+		this.fixture.run(() -> this.commander.unload(ONE, "test"));
+		this.fixture.run(() -> this.commander.loadAdapter(adapter("a1"), results::add));
+		this.fixture.until("answered", this::tick, () -> !results.isEmpty());
+		assertThat(results).containsExactly(false);
+	}
+
+}
--- /dev/null
+++ b/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
@@ -0,0 +1,93 @@
+package org.celeryhill.edge;
+
+import org.celeryhill.platform.StoreStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of who may send commands.
+ */
+@Timeout(40)
+class LeadershipTests {
+
+	private ControlFixture fixture;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new ControlFixture();
+	}
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	// Guards against two hosts that send commands, and against turns that follow too
+	// closely
+	// when a holder falls silent.
+	@Test
+	void takesOverAfterTheTurn() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		Leadership two = this.fixture.leadership("10.0.0.2:80");
+		this.fixture.until("first holder", one::tick, () -> one.commandLease().isPresent());
+		this.fixture.until("holder is known", () -> {
+			one.tick();
+			two.tick();
+		}, () -> two.holder().isPresent());
+		assertThat(this.fixture.call(two::isHolder)).isFalse();
+		long[] lastCommand = { System.nanoTime() };
+		this.fixture.until("second holder", () -> {
+			if (one.commandLease().isPresent()) {
+				lastCommand[0] = System.nanoTime();
+			}
+			two.tick();
+		}, () -> two.commandLease().isPresent());
+		assertThat(System.nanoTime() - lastCommand[0]).isGreaterThan(ControlFixture.TURN.toNanos());
+		this.fixture.until("the first one gives up", one::tick, () -> !one.isHolder() && one.holder().isPresent());
+	}
+
+	// Guards against commands of a holder that cannot renew its lease, and against a host
+	// that waits for its own earlier lease although nobody else held it.
+	@Test
+	void stopsWithoutTheStoreAndGoesOnWithIt() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		this.fixture.until("holder", one::tick, () -> one.commandLease().isPresent());
+		this.fixture.store.fail(StoreStandin.Fault.BUSY);
+		this.fixture.until("lease ends", one::tick, () -> one.commandLease().isEmpty());
+		this.fixture.store.fail(StoreStandin.Fault.NONE);
+		this.fixture.until("holder again", one::tick, one::isHolder);
+		assertThat(this.fixture.call(one::commandLease)).isPresent();
+	}
+
+	// Guards against a renewal whose answer is lost and that counts as somebody else's.
+	@Test
+	void keepsTheLeaseWhenAnswersAreLost() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		this.fixture.until("holder", one::tick, () -> one.commandLease().isPresent());
+		this.fixture.store.fail(StoreStandin.Fault.LOSES_ANSWERS);
+		for (int i = 0; i < 60; i++) {
+			this.fixture.run(one::tick);
+			Thread.sleep(20);
+		}
+		this.fixture.store.fail(StoreStandin.Fault.NONE);
+		this.fixture.until("holder", one::tick, () -> one.commandLease().isPresent());
+	}
+
+	// Guards against commands after a graceful stop has begun.
+	@Test
+	void sendsNothingAfterAStop() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		Leadership two = this.fixture.leadership("10.0.0.2:80");
+		this.fixture.until("holder", one::tick, () -> one.commandLease().isPresent());
+		long stopped = System.nanoTime();
+		this.fixture.run(one::stop);
+		assertThat(this.fixture.call(one::commandLease)).isEmpty();
+		this.fixture.until("second holder", two::tick, () -> two.commandLease().isPresent());
+		assertThat(System.nanoTime() - stopped).isGreaterThan(ControlFixture.TURN.toNanos());
+	}
+
+}
