--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -121,6 +121,7 @@
 		this.peers = new PeerService(this.loop, calls, this.forwarder, this.leadership, this.placement, demand,
 				this.configuration, settings);
 		this.forwarder.setAdapterLoader(this.peers);
+		this.forwarder.setPlacementForecast(this.peers);
 		this.peerServer = FrontServer.create(this.loop, this.peers);
 	}
 
--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -1,5 +1,6 @@
 package org.celeryhill.edge;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -172,6 +173,20 @@
 		return this.change;
 	}
 
+	// Returns the time until the model that is being loaded can be used.
+	Optional<Duration> timeUntilLoaded() {
+		return this.change.filter(ModelChange::isLoad).map((one) -> {
+			EngineProfile.Model model = this.profile.models()
+				.stream()
+				.filter((candidate) -> candidate.id().equals(one.model()))
+				.findFirst()
+				.orElseThrow();
+			Duration whole = one.isCold() ? model.coldLoad() : model.diskLoad();
+			Duration left = whole.minusNanos(System.nanoTime() - one.decidedNanos());
+			return left.isNegative() ? Duration.ZERO : left;
+		});
+	}
+
 	// Starts to load a model.
 	void load(ModelId model, boolean isCold, String reason) {
 		start(new ModelChange(true, model, isCold, System.nanoTime(), 0, false), reason);
--- a/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -1,5 +1,6 @@
 package org.celeryhill.edge;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -85,6 +86,20 @@
 		return models;
 	}
 
+	static ObjectNode encodeArriving(Map<ModelId, Duration> arriving) {
+		ObjectNode node = JsonCalls.MAPPER.createObjectNode();
+		arriving.forEach((model, time) -> node.put(model.value(), time.toMillis()));
+		return node;
+	}
+
+	static Map<ModelId, Duration> decodeArriving(JsonNode node) {
+		Map<ModelId, Duration> arriving = new HashMap<>();
+		node.fields()
+			.forEachRemaining(
+					(field) -> arriving.put(ModelId.of(field.getKey()), Duration.ofMillis(field.getValue().asLong())));
+		return arriving;
+	}
+
 	static ObjectNode encodeAdapter(BackendServerId engine, ModelId model, String adapter) {
 		return JsonCalls.MAPPER.createObjectNode()
 			.put("engine", engine.value())
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -32,6 +32,7 @@
 import org.celeryhill.forward.Forwarder;
 import org.celeryhill.forward.IncomingRequest;
 import org.celeryhill.forward.IngressLimits;
+import org.celeryhill.forward.PlacementForecast;
 import org.celeryhill.forward.RequestHandler;
 import org.celeryhill.forward.ResponseChannel;
 import org.celeryhill.platform.JsonCalls;
@@ -43,7 +44,7 @@
  * models that are about to leave engines and a newer configuration. A host that does not
  * know the holder asks the hosts that it knows. Must be used on the event loop.
  */
-final class PeerService implements RequestHandler, AdapterLoader {
+final class PeerService implements RequestHandler, AdapterLoader, PlacementForecast {
 
 	private static final EventLog LOG = EventLog.of(PeerService.class);
 
@@ -88,6 +89,10 @@
 
 	private boolean isBeating;
 
+	private Map<ModelId, Duration> arriving = Map.of();
+
+	private long arrivingNanos = System.nanoTime();
+
 	private int nextSeed;
 
 	private boolean isHolderLost;
@@ -116,6 +121,7 @@
 			this.uses.forEach((use) -> this.placement.used(use.engine(), use.model()));
 			this.uses.clear();
 			retire(retiring());
+			arrive(this.placement.arriving());
 			return;
 		}
 		target().ifPresent(this::beat);
@@ -165,11 +171,23 @@
 		}
 		if (reply.path("isHolder").asBoolean()) {
 			retire(PeerMessages.decodeModels(reply.path("retiring")));
+			arrive(PeerMessages.decodeArriving(reply.path("arriving")));
 		}
 		PeerMessages.text(reply, "configuration")
 			.ifPresent((text) -> this.configuration.offer(Base64.getDecoder().decode(text), "peer"));
 	}
 
+	private void arrive(Map<ModelId, Duration> models) {
+		this.arriving = models;
+		this.arrivingNanos = System.nanoTime();
+	}
+
+	@Override
+	public Optional<Duration> timeUntil(ModelId model) {
+		long age = System.nanoTime() - this.arrivingNanos;
+		return Optional.ofNullable(this.arriving.get(model)).map((time) -> time.minusNanos(age));
+	}
+
 	private void retire(List<PeerMessages.EngineModel> models) {
 		Map<BackendServerId, ModelId> byEngine = new HashMap<>();
 		models.forEach((one) -> byEngine.put(one.engine(), one.model()));
@@ -282,6 +300,7 @@
 				}
 			});
 			reply.set("retiring", PeerMessages.encodeModels(retiring()));
+			reply.set("arriving", PeerMessages.encodeArriving(this.placement.arriving()));
 		}
 		else {
 			this.leadership.holder()
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -1,5 +1,6 @@
 package org.celeryhill.edge;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -233,6 +234,17 @@
 		Optional.ofNullable(this.commanders.get(engine)).ifPresent((commander) -> commander.used(adapter));
 	}
 
+	// Returns the time until each model that is being loaded can be used.
+	Map<ModelId, Duration> arriving() {
+		Map<ModelId, Duration> arriving = new HashMap<>();
+		for (EngineCommander commander : this.commanders.values()) {
+			commander.timeUntilLoaded()
+				.ifPresent((time) -> arriving.merge(commander.change().orElseThrow().model(), time,
+						(one, other) -> (one.compareTo(other) < 0) ? one : other));
+		}
+		return arriving;
+	}
+
 	// Returns the models that are about to leave engines.
 	Map<BackendServerId, ModelId> retiring() {
 		Map<BackendServerId, ModelId> retiring = new HashMap<>();
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.Future;
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.EventLog;
+import org.celeryhill.base.ModelId;
 import org.celeryhill.base.PriorityClass;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
@@ -45,6 +46,11 @@
 
 	private static final int ENGINE_PRIORITY_STEP = 3;
 
+	/** Time until a model can be used that no engine loads yet. */
+	private static final Duration UNPLANNED_LOAD = Duration.ofMillis(2500);
+
+	private static final Duration LEAST_PATIENCE = Duration.ofSeconds(2);
+
 	private final Forwarder forwarder;
 
 	private final RequestId key;
@@ -113,6 +119,11 @@
 		this.caller.model()
 			.ifPresent((name) -> this.forwarder.demand()
 				.requested(this.service, name.model(), value(this.request.priority())));
+		Optional<Duration> absence = absence();
+		if (absence.isPresent()) {
+			refuse("model_absent", absence.get());
+			return;
+		}
 		Optional<TrafficAction.Refuse> refusal = this.forwarder.traffic().offer(this.request, System.nanoTime());
 		if (refusal.isPresent()) {
 			refused(refusal.get());
@@ -122,6 +133,29 @@
 		}
 	}
 
+	// Returns after what time to come back where no engine can serve the model before the
+	// caller would give up.
+	private Optional<Duration> absence() {
+		if (this.caller.model().isEmpty()) {
+			return Optional.empty();
+		}
+		ModelId model = this.caller.model().get().model();
+		if (this.forwarder.directory().isServed(this.service, model)) {
+			return Optional.empty();
+		}
+		Duration wait = this.forwarder.forecast().timeUntil(model).orElse(UNPLANNED_LOAD);
+		boolean isInTime = wait.compareTo(patience().multipliedBy(2).dividedBy(3)) < 0;
+		return isInTime ? Optional.empty() : Optional.of(wait);
+	}
+
+	// The time after which callers leave a stream that has no event.
+	private Duration patience() {
+		Duration byTarget = this.route.targetLatency().multipliedBy(4);
+		Duration byGap = this.route.gapTarget().multipliedBy(8);
+		Duration longer = (byTarget.compareTo(byGap) > 0) ? byTarget : byGap;
+		return (longer.compareTo(LEAST_PATIENCE) > 0) ? longer : LEAST_PATIENCE;
+	}
+
 	private void noteLate() {
 		this.caller.model()
 			.ifPresent(
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -57,6 +57,8 @@
 
 	private DemandListener demand = DemandListener.NONE;
 
+	private PlacementForecast forecast = PlacementForecast.NONE;
+
 	private RoutingTable table;
 
 	private boolean isDispatchScheduled;
@@ -111,6 +113,14 @@
 		this.demand = listener;
 	}
 
+	/**
+	 * Sets who knows of models that are being loaded.
+	 * @param source the source, not null
+	 */
+	public void setPlacementForecast(PlacementForecast source) {
+		this.forecast = source;
+	}
+
 	/**
 	 * Puts a configuration in force. A version that is not higher than the one in force
 	 * is ignored.
@@ -289,6 +299,10 @@
 		return this.demand;
 	}
 
+	PlacementForecast forecast() {
+		return this.forecast;
+	}
+
 	ForwardMetrics metrics() {
 		return this.metrics;
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
@@ -205,6 +205,23 @@
 		}
 	}
 
+	/**
+	 * Returns whether an engine that takes requests holds a model.
+	 * @param service the service, not null
+	 * @param model the model without an adapter, not null
+	 * @return whether one does
+	 */
+	public boolean isServed(ServiceId service, ModelId model) {
+		for (State state : this.states.values()) {
+			boolean isUsable = state.entry.service().equals(service) && !state.entry.isDraining()
+					&& !model.equals(state.retiring);
+			if (isUsable && state.entry.models().stream().anyMatch((holding) -> holding.model().equals(model))) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * Publishes all backend servers again, after a change of the configuration.
 	 */
