--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -85,6 +85,8 @@
 
 	private Optional<ModelChange> change = Optional.empty();
 
+	private Optional<Following> following = Optional.empty();
+
 	private int inTransit;
 
 	EngineCommander(EventLoop loop, PlatformEngines engines, Leadership leadership, EdgeMetrics metrics, String holder,
@@ -128,6 +130,9 @@
 			this.adapterUses.keySet().removeIf((adapter) -> isAdapterOf(adapter, done.model()));
 		}
 		this.change = Optional.empty();
+		Optional<Following> next = this.following;
+		this.following = Optional.empty();
+		next.ifPresent((one) -> load(one.model(), one.isCold(), "after_removal"));
 	}
 
 	private static boolean isAdapterOf(ModelId adapter, ModelId model) {
@@ -139,6 +144,7 @@
 	void resync() {
 		this.count = -1;
 		this.change = Optional.empty();
+		this.following = Optional.empty();
 		this.askAfterNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STATE_LAG_MS);
 	}
 
@@ -173,6 +179,21 @@
 		return this.change;
 	}
 
+	// Returns the models that the engine is to hold after the commands under way.
+	Set<ModelId> expectedResidents() {
+		Set<ModelId> expected = new HashSet<>(this.residents);
+		this.change.ifPresent((one) -> {
+			if (one.isLoad()) {
+				expected.add(one.model());
+			}
+			else {
+				expected.remove(one.model());
+			}
+		});
+		this.following.ifPresent((next) -> expected.add(next.model()));
+		return expected;
+	}
+
 	// Returns the time until the model that is being loaded can be used.
 	Optional<Duration> timeUntilLoaded() {
 		return this.change.filter(ModelChange::isLoad).map((one) -> {
@@ -192,6 +213,12 @@
 		start(new ModelChange(true, model, isCold, System.nanoTime(), 0, false), reason);
 	}
 
+	// Starts to remove a model and then to load another one in its place.
+	void swap(ModelId model, ModelId next, boolean isCold, String reason) {
+		unload(model, "room_for_" + next + "_" + reason);
+		this.following = Optional.of(new Following(next, isCold));
+	}
+
 	// Starts to remove a model. Hosts are told first, so that no request is turned away.
 	void unload(ModelId model, String reason) {
 		start(new ModelChange(false, model, false, System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(RETIRE_MS), false),
@@ -281,6 +308,7 @@
 		}
 		else if (outcome == PlatformEngines.Outcome.NOT_SENT) {
 			this.change = Optional.empty();
+			this.following = Optional.empty();
 		}
 		else {
 			resync();
@@ -422,6 +450,9 @@
 
 	}
 
+	private record Following(ModelId model, boolean isCold) {
+	}
+
 	private record AdapterJob(CallerRequest.ModelName name, Consumer<Boolean> done, long sinceNanos) {
 	}
 
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -175,15 +175,7 @@
 
 	private SwapPlanner.EngineInput input(ServerEntry entry, EngineCommander commander, Map<ModelId, Long> sizes) {
 		Map<ModelId, Long> residents = new HashMap<>();
-		commander.residents().forEach((model) -> residents.put(model, sizes.getOrDefault(model, 0L)));
-		commander.change().ifPresent((change) -> {
-			if (change.isLoad()) {
-				residents.put(change.model(), sizes.getOrDefault(change.model(), 0L));
-			}
-			else {
-				residents.remove(change.model());
-			}
-		});
+		commander.expectedResidents().forEach((model) -> residents.put(model, sizes.getOrDefault(model, 0L)));
 		Set<ModelId> near = new HashSet<>(entry.copiesInMemory());
 		near.addAll(entry.copiesOnDisk());
 		long reserve = 0;
@@ -208,14 +200,15 @@
 	private void carryOut(SwapPlanner.Step step) {
 		EngineCommander commander = this.commanders.get(step.engine());
 		String reason = String.format(java.util.Locale.ROOT, "gain_%.3f", step.gain());
-		if (step.unload().isPresent()) {
-			commander.unload(step.unload().get(), "room_for_" + step.load() + "_" + reason);
-			return;
-		}
 		if (step.isCold()) {
 			this.coldLoads.addLast(System.nanoTime());
 		}
-		commander.load(step.load(), step.isCold(), reason);
+		if (step.unload().isPresent()) {
+			commander.swap(step.unload().get(), step.load(), step.isCold(), reason);
+		}
+		else {
+			commander.load(step.load(), step.isCold(), reason);
+		}
 	}
 
 	// Loads an adapter at an engine.
--- a/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -20,8 +20,14 @@
  */
 public final class SwapPlanner {
 
-	/** Part of all worth that a further replica must gain by making others leave. */
-	private static final double MIN_GAIN = 0.04;
+	/** Part of all worth that a step must gain. */
+	private static final double MIN_GAIN = 0.01;
+
+	/**
+	 * A removal counts for more than it loses at once, as the model may have to come
+	 * back.
+	 */
+	private static final double LOSS_FACTOR = 1.5;
 
 	/**
 	 * Part of the worth that comes late which a further replica is expected to rescue.
@@ -34,9 +40,6 @@
 	/** Worth in a second of keeping the only replica of a model that nobody asks for. */
 	private static final double IDLE_VALUE = 0.02;
 
-	/** Engines that are to have the weights of each model close by. */
-	private static final int NEAR_COPIES = 2;
-
 	/** Worth in a second below which the demand says too little to remove a model. */
 	private static final double MIN_KNOWN_VALUE = 5;
 
@@ -165,56 +168,6 @@
 		}
 
 		Optional<Step> best() {
-			Optional<Step> best = bestOfDemand();
-			return (best.isEmpty() && this.totalValue < MIN_KNOWN_VALUE) ? bestCopy() : best;
-		}
-
-		// Uses the time without demand to bring weights close to engines, so that a later
-		// load
-		// takes a second. Each model keeps a replica meanwhile.
-		private Optional<Step> bestCopy() {
-			if (this.coldLoads <= 0) {
-				return Optional.empty();
-			}
-			for (EngineInput engine : this.engines) {
-				Optional<ModelInput> model = this.open.containsKey(engine.id()) ? rarest(engine) : Optional.empty();
-				if (model.isEmpty()) {
-					continue;
-				}
-				long missing = model.get().bytes() - engine.freeBytes();
-				Optional<ModelId> victim = (missing > 0) ? spare(engine, missing) : Optional.empty();
-				if (missing <= 0 || victim.isPresent()) {
-					return Optional.of(new Step(engine.id(), model.get().id(), victim, true, 0));
-				}
-			}
-			return Optional.empty();
-		}
-
-		private Optional<ModelInput> rarest(EngineInput engine) {
-			return this.models.values()
-				.stream()
-				.filter((model) -> !engine.near().contains(model.id()) && !engine.residents().containsKey(model.id())
-						&& !this.loading.contains(model.id()))
-				.filter((model) -> nearCopies(model.id()) < NEAR_COPIES)
-				.min(Comparator.comparingLong((ModelInput model) -> nearCopies(model.id()))
-					.thenComparing(ModelInput::id));
-		}
-
-		private long nearCopies(ModelId model) {
-			return this.engines.stream()
-				.filter((engine) -> engine.near().contains(model) || engine.residents().containsKey(model))
-				.count();
-		}
-
-		private Optional<ModelId> spare(EngineInput engine, long missing) {
-			return engine.removable()
-				.stream()
-				.filter((model) -> this.replicas.getOrDefault(model, 0) > 1)
-				.filter((model) -> engine.residents().getOrDefault(model, 0L) >= missing)
-				.min(Comparator.naturalOrder());
-		}
-
-		private Optional<Step> bestOfDemand() {
 			List<ModelInput> wanted = new ArrayList<>(this.models.values());
 			wanted.removeIf((model) -> this.loading.contains(model.id()));
 			wanted.sort(Comparator.comparingDouble((ModelInput model) -> -gainOfAdding(model))
@@ -239,7 +192,7 @@
 			if (engine.residents().containsKey(model.id()) || (isCold && this.coldLoads <= 0)) {
 				return Optional.empty();
 			}
-			double gain = gainOfAdding(model);
+			double gain = gainOfAdding(model) * (isCold ? COLD_PART : 1);
 			Optional<ModelId> victim = Optional.empty();
 			if (engine.freeBytes() < model.bytes()) {
 				if (this.totalValue < MIN_KNOWN_VALUE) {
@@ -249,12 +202,11 @@
 				if (victim.isEmpty()) {
 					return Optional.empty();
 				}
-				gain -= lossOfRemoving(this.models.get(victim.get()));
+				gain -= LOSS_FACTOR * lossOfRemoving(this.models.get(victim.get()));
 			}
-			boolean isFirst = this.replicas.getOrDefault(model.id(), 0) == 0;
-			double least = isFirst ? 0 : this.totalValue * MIN_GAIN;
-			double score = isCold ? COLD_PART * gain : gain;
-			return (score > least) ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, score))
+			boolean isFree = victim.isEmpty() && this.replicas.getOrDefault(model.id(), 0) == 0;
+			double least = isFree ? 0 : this.totalValue * MIN_GAIN;
+			return (gain > least) ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, gain))
 					: Optional.empty();
 		}
 
