--- a/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
+++ b/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
@@ -9,6 +9,7 @@
 import org.celeryhill.forward.Forwarder;
 import org.celeryhill.forward.RoutingTable;
 import org.celeryhill.platform.ConfigurationCodec;
+import org.celeryhill.platform.PlatformTables;
 import org.celeryhill.platform.StoreClient;
 import org.celeryhill.platform.StoreFeed;
 
@@ -18,12 +19,8 @@
  */
 final class ConfigurationHolder implements StoreFeed.Listener {
 
-	static final String TABLE = "op";
-
 	private static final EventLog LOG = EventLog.of(ConfigurationHolder.class);
 
-	private static final String KEY = "config";
-
 	private final Forwarder forwarder;
 
 	private byte[] document = {};
@@ -59,7 +56,7 @@
 
 	@Override
 	public void changed(StoreClient.StoredRow row) {
-		if (row.key().equals(KEY)) {
+		if (row.key().equals(PlatformTables.CONFIGURATION)) {
 			offer(row.value(), "store");
 		}
 	}
--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -25,6 +25,7 @@
 import org.celeryhill.platform.JsonCalls;
 import org.celeryhill.platform.PlatformEngines;
 import org.celeryhill.platform.PlatformHeaders;
+import org.celeryhill.platform.PlatformTables;
 import org.celeryhill.platform.ServerCodec;
 import org.celeryhill.platform.StoreClient;
 import org.celeryhill.platform.StoreFeed;
@@ -62,7 +63,9 @@
 
 	private final EdgeSettings settings;
 
-	private final EventLoop loop;
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
 
 	private final BackendClient client;
 
@@ -96,7 +99,6 @@
 
 	private EdgeDaemon(EdgeSettings settings) {
 		this.settings = settings;
-		this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 		this.client = BackendClient.create(this.loop);
 		TrafficTunables tunables = new TrafficTunables(24, 4000, 0, settings.retryRatio * RETRY_SHARE,
 				Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(30), 1024);
@@ -149,8 +151,8 @@
 	void start() throws InterruptedException {
 		LOG.info("edge_starting", "host", this.settings.hostId, "data_centre", this.settings.dataCentre, "front",
 				this.settings.front, "store", this.settings.store);
-		StoreFeed.start(this.store, this.loop, ConfigurationHolder.TABLE, this.configuration);
-		StoreFeed.start(this.store, this.loop, HostListFollower.TABLE,
+		StoreFeed.start(this.store, this.loop, PlatformTables.OPERATOR, this.configuration);
+		StoreFeed.start(this.store, this.loop, PlatformTables.BACKEND_SERVERS,
 				new HostListFollower(this.loop, this.forwarder.directory()));
 		this.front.listen(this.settings.frontAddress()).sync();
 		this.ready.listen(this.settings.readyAddress()).sync();
@@ -223,4 +225,9 @@
 		this.loop.schedule(done, HOUSEKEEPING_MS / 10, TimeUnit.MILLISECONDS);
 	}
 
+	// Ends at once, without regard to running requests.
+	void close() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
 }
--- a/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
@@ -20,8 +20,6 @@
  */
 final class HostListFollower implements StoreFeed.Listener {
 
-	static final String TABLE = "servers";
-
 	private static final EventLog LOG = EventLog.of(HostListFollower.class);
 
 	/** After the store's return, living backend servers are listed within this time. */
