--- a/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
@@ -57,8 +57,7 @@
 		EdgeSettings settings = new EdgeSettings();
 		List<String> flags = new ArrayList<>(List.of("--host-id=" + host, "--data-centre=here", "--region=r",
 				"--front=" + freeAddress(), "--ready=" + freeAddress(), "--peer=" + freeAddress(),
-				"--metrics-port=" + freeAddress().split(":")[1], "--store=127.0.0.1:" + this.store.address().getPort(),
-				"--grace-s=6"));
+				"--metrics-port=" + freeAddress().split(":")[1], "--grace-s=6"));
 		flags.addAll(List.of(more));
 		CommandLine.populateCommand(settings, flags.toArray(new String[0]));
 		assertThat(settings.check()).isEmpty();
