Take test ports from below the ephemeral range

Cause: EdgeDaemonTests failed once with 'Address already in use': a port that was free when it was picked went to an outgoing connection before the daemon bound it. Change: ports are picked below the range of outgoing connections.

--- a/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
@@ -1,6 +1,7 @@
 package org.celeryhill.edge;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.celeryhill.platform.PlatformTables;
 import org.celeryhill.platform.ServiceStandin;
@@ -27,6 +29,12 @@
 @Timeout(60)
 class EdgeDaemonTests {
 
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int PORTS = 10_000;
+
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger((int) (ProcessHandle.current().pid() % PORTS));
+
 	private final List<EdgeDaemon> daemons = new ArrayList<>();
 
 	private StoreStandin store;
@@ -64,9 +72,16 @@
 		return settings;
 	}
 
+	// Ports below the range from which the system takes those of outgoing connections.
 	private static String freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return "127.0.0.1:" + socket.getLocalPort();
+		while (true) {
+			int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				return "127.0.0.1:" + socket.getLocalPort();
+			}
+			catch (BindException ex) {
+				// Another process has the port; the next one is tried.
+			}
 		}
 	}
 
