--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -58,6 +58,11 @@
 	/** Part of the grace period that is left for the end of the process. */
 	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
 
+	/**
+	 * Longest queue in an engine; the shortest target of a first event is half a second.
+	 */
+	private static final Duration FIRST_TOKEN_WAIT = Duration.ofMillis(350);
+
 	/** Of the second sends that are allowed, the part that this host takes. */
 	private static final double RETRY_SHARE = 0.5;
 
@@ -101,7 +106,8 @@
 		this.settings = settings;
 		this.client = BackendClient.create(this.loop);
 		TrafficTunables tunables = new TrafficTunables(24, 4000, 0, settings.retryRatio * RETRY_SHARE,
-				Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(30), 1024);
+				Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(30),
+				FIRST_TOKEN_WAIT, 1024);
 		this.traffic = DefaultTrafficController.create(HostId.of(settings.hostId), DataCentre.of(settings.dataCentre),
 				UUID.randomUUID().toString().substring(0, 8), settings.hostId.hashCode(), tunables);
 		this.forwarder = Forwarder.create(this.loop, this.client, new PlatformHeaders(), this.traffic, this.metrics);
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -41,6 +41,9 @@
 	/** Part of the allowed loads that is used; the rest is left for late commands. */
 	private static final double LOAD_PART = 0.6;
 
+	/** Demand moves on and comes back within minutes. */
+	private static final double PEAK_MEMORY_NANOS = 120e9;
+
 	/** A copy of a command from before a restart may arrive for this long. */
 	private static final long LATE_COMMAND_NANOS = TimeUnit.SECONDS.toNanos(13);
 
@@ -50,6 +53,8 @@
 
 	private final Map<BackendServerId, Long> restarts = new HashMap<>();
 
+	private final Map<DemandMeter.Key, Double> peaks = new HashMap<>();
+
 	private final Map<DemandMeter.Key, Long> unservedSince = new HashMap<>();
 
 	private final Deque<Long> coldLoads = new ArrayDeque<>();
@@ -149,7 +154,7 @@
 					new DemandMeter.Rate(0, 0));
 			sizes.put(model.id(), model.bytes());
 			models.add(new SwapPlanner.ModelInput(model.id(), model.bytes(), rate.valuePerSecond(),
-					rate.latePerSecond(), unservedSeconds(service, model.id(), rate)));
+					rate.latePerSecond(), unservedSeconds(service, model.id(), rate), peak(service, model.id(), rate)));
 		}
 		List<SwapPlanner.EngineInput> inputs = new ArrayList<>();
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
@@ -162,6 +167,12 @@
 		}
 	}
 
+	private double peak(ServiceId service, ModelId model, DemandMeter.Rate rate) {
+		double faded = Math.exp(-PLAN_PERIOD_NANOS / PEAK_MEMORY_NANOS);
+		return this.peaks.merge(new DemandMeter.Key(service, model), rate.valuePerSecond(),
+				(before, now) -> Math.max(before * faded, now));
+	}
+
 	private double unservedSeconds(ServiceId service, ModelId model, DemandMeter.Rate rate) {
 		DemandMeter.Key key = new DemandMeter.Key(service, model);
 		boolean isServed = rate.valuePerSecond() <= 0
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -316,9 +316,10 @@
 		this.forwarder.ended(this);
 		double seconds = (System.nanoTime() - this.incoming.arrivedNanos()) / 1e9;
 		this.forwarder.metrics().ended(status, seconds);
-		LOG.info("request_ended", "request", this.key, "route", this.route.name(), "service", this.service, "status",
-				status, "reason", reason, "server", (this.attempt != null) ? this.attempt.serverId() : "none", "sends",
-				this.sends, "events", this.events, "ms", Math.round(seconds * 1e3));
+		LOG.info("request_ended", "request", this.key, "route", this.route.name(), "service", this.service, "model",
+				this.caller.model().map((name) -> name.toId().value()).orElse("none"), "status", status, "reason",
+				reason, "server", (this.attempt != null) ? this.attempt.serverId() : "none", "sends", this.sends,
+				"events", this.events, "ms", Math.round(seconds * 1e3));
 		this.forwarder.scheduleDispatch();
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/RevisionMapping.java
+++ b/forward/src/main/java/org/celeryhill/forward/RevisionMapping.java
@@ -41,6 +41,8 @@
 
 	private static final int ALL_PERCENT = 100;
 
+	private static final int LATE_PERCENT = 150;
+
 	private RevisionMapping() {
 	}
 
@@ -95,7 +97,8 @@
 			}
 			first = shorter(first, route.targetLatency());
 			between = shorter(between, route.gapTarget().dividedBy(stride));
-			deadline = (deadline == null || route.timeout().compareTo(deadline) > 0) ? route.timeout() : deadline;
+			Duration latest = latestStart(route);
+			deadline = (deadline == null || latest.compareTo(deadline) > 0) ? latest : deadline;
 		}
 		double weight = 1 << (PriorityClass.values().length - 1 - priority.ordinal());
 		return new ClassTarget(Optional.ofNullable(first).orElse(DEFAULT_TARGET),
@@ -103,6 +106,16 @@
 				Optional.ofNullable(deadline).orElse(DEFAULT_TIMEOUT), weight, weight, 0);
 	}
 
+	// A stream that starts much later than its target takes engine time from those that
+	// could still start in time.
+	private static Duration latestStart(Route route) {
+		if (route.kind() != Route.Kind.STREAM) {
+			return route.timeout();
+		}
+		Duration late = route.targetLatency().multipliedBy(LATE_PERCENT).dividedBy(ALL_PERCENT);
+		return (late.compareTo(route.timeout()) < 0) ? late : route.timeout();
+	}
+
 	private static boolean leadsTo(Route route, ServiceId service) {
 		return route.destinations().stream().anyMatch((one) -> one.service().equals(service));
 	}
--- a/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -43,6 +43,9 @@
 	/** Worth in a second below which the demand says too little to remove a model. */
 	private static final double MIN_KNOWN_VALUE = 5;
 
+	/** Part of a model's past worth for which its last replica is kept. */
+	private static final double RETURN_PART = 0.08;
+
 	/** Part of a model's worth that is at risk when one of two replicas leaves. */
 	private static final double SECOND_REPLICA = 0.3;
 
@@ -107,9 +110,10 @@
 	 * @param valuePerSecond the worth that is asked for
 	 * @param latePerSecond the worth that was answered late or not at all
 	 * @param unservedSeconds the time for which requests have waited without a replica
+	 * @param peakPerSecond the most worth that was asked for in the last minutes
 	 */
 	public record ModelInput(ModelId id, long bytes, double valuePerSecond, double latePerSecond,
-			double unservedSeconds) {
+			double unservedSeconds, double peakPerSecond) {
 
 		/**
 		 * Checks the arguments.
@@ -226,15 +230,21 @@
 		private double gainOfAdding(ModelInput model) {
 			int count = this.replicas.getOrDefault(model.id(), 0);
 			if (count == 0) {
-				return IDLE_VALUE + model.valuePerSecond() * (1 + UNSERVED_FACTOR * model.unservedSeconds());
+				return idleValue(model) + model.valuePerSecond() * (1 + UNSERVED_FACTOR * model.unservedSeconds());
 			}
 			return RESCUED * model.latePerSecond() / count;
 		}
 
+		// A model that was in demand before may be again, and its weights take seconds to
+		// come.
+		private double idleValue(ModelInput model) {
+			return IDLE_VALUE + RETURN_PART * model.peakPerSecond();
+		}
+
 		private double lossOfRemoving(ModelInput model) {
 			int count = this.replicas.getOrDefault(model.id(), 0);
 			if (count <= 1) {
-				return IDLE_VALUE + model.valuePerSecond();
+				return idleValue(model) + model.valuePerSecond();
 			}
 			return model.latePerSecond() + SECOND_REPLICA * model.valuePerSecond() / (count * (count - 1));
 		}
--- a/placement/src/test/java/org/celeryhill/placement/SwapPlannerTests.java
+++ b/placement/src/test/java/org/celeryhill/placement/SwapPlannerTests.java
@@ -76,6 +76,20 @@
 		assertThat(steps).extracting(SwapPlanner.Step::load).containsExactly(HOT);
 	}
 
+	// Guards against a model of urgent work that leaves in a pause for a rare one, as it
+	// takes
+	// seconds to come back.
+	@Test
+	void keepsAModelThatWasInDemand() {
+		SwapPlanner.ModelInput paused = new SwapPlanner.ModelInput(WARM, SIZE, 0, 0, 0, 30);
+		List<SwapPlanner.EngineInput> engines = List
+			.of(engine("e1", 0, Map.of(HOT, SIZE, WARM, SIZE), Set.of(MISSING)));
+		assertThat(SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 0.3, 0, 1)), 1))
+			.isEmpty();
+		assertThat(SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 8, 0, 1)), 1))
+			.hasSize(1);
+	}
+
 	// Guards against more loads from the weight store than are allowed.
 	@Test
 	void staysWithinTheColdLoads() {
@@ -109,7 +123,7 @@
 	}
 
 	private static SwapPlanner.ModelInput model(ModelId id, double value, double late, double unserved) {
-		return new SwapPlanner.ModelInput(id, SIZE, value, late, unserved);
+		return new SwapPlanner.ModelInput(id, SIZE, value, late, unserved, value);
 	}
 
 }
--- a/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
@@ -41,6 +41,8 @@
 	/** Limit of the KV tokens. */
 	final ConcurrencyLimit limit = new ConcurrencyLimit();
 
+	final FirstTokenLimit firstTokens;
+
 	/** Where it stands. */
 	DataCentre dataCentre;
 
@@ -119,12 +121,15 @@
 	 * @param index the position in the table
 	 * @param hash the rendezvous hash with this daemon
 	 * @param slowStartNanos the length of a slow start, in nanoseconds
+	 * @param firstTokenNanos the wait for a first token that its queue is kept to, in
+	 * nanoseconds, 0 for no limit
 	 */
-	BackendState(BackendServerId id, int index, long hash, long slowStartNanos) {
+	BackendState(BackendServerId id, int index, long hash, long slowStartNanos, long firstTokenNanos) {
 		this.id = id;
 		this.index = index;
 		this.hash = hash;
 		this.slowStartNanos = slowStartNanos;
+		this.firstTokens = new FirstTokenLimit(firstTokenNanos);
 	}
 
 	/**
@@ -276,6 +281,15 @@
 		return total < max && this.unitsSinceReport < share * this.freeAtReport;
 	}
 
+	/**
+	 * Returns whether a prompt may join those that wait for their first token.
+	 * @param prefill the tokens of the prompt that are not cached
+	 * @return whether it may
+	 */
+	boolean admitsPrompt(int prefill) {
+		return this.report == null || this.firstTokens.allows(this.ownWaiting, this.ownPrefill, prefill);
+	}
+
 	/**
 	 * Returns the expected time to the first token of a new attempt.
 	 * @param prefill the prompt tokens without the cached prefix
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -335,6 +335,8 @@
 		}
 		else {
 			attempt.pending.flow.parent.started(now - attempt.sent);
+			attempt.backend.firstTokens.observe(now - attempt.sent, now);
+			release(this.pools.get(attempt.pending.request.service()), attempt.backend, now);
 		}
 		attempt.pending.isAnswering = true;
 		attempt.tokens = tokens;
--- a/traffic/src/main/java/org/celeryhill/traffic/Router.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/Router.java
@@ -148,6 +148,9 @@
 			return;
 		}
 		int prefill = Math.max(1, this.pending.request.promptTokens() - this.prefixes.cachedTokens(one));
+		if (!one.admitsPrompt(prefill)) {
+			return;
+		}
 		double seconds = one.expectedSeconds(prefill);
 		if (extra > 0 && !one.isAdapterExpected(this.pending.flow.route.model, now)) {
 			seconds += extra;
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -188,7 +188,8 @@
 		boolean isNew = backend == null;
 		if (isNew) {
 			long hash = mix(this.hostHash ^ view.id().value().hashCode() * 0x9E3779B97F4A7C15L);
-			backend = new BackendState(view.id(), this.nextIndex++, hash, this.tunables.slowStart().toNanos());
+			backend = new BackendState(view.id(), this.nextIndex++, hash, this.tunables.slowStart().toNanos(),
+					this.tunables.firstTokenWait().toNanos());
 			this.backends.put(view.id(), backend);
 		}
 		boolean isRestarted = backend.isRestartedIn(view);
--- a/traffic/src/main/java/org/celeryhill/traffic/TrafficTunables.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/TrafficTunables.java
@@ -17,14 +17,17 @@
  * @param slowStart the time over which a recovered backend server returns to its full
  * limit, not null, positive
  * @param adapterLoad the expected time to load an adapter, not null, positive
+ * @param firstTokenWait the time from a send to the first token that an engine's queue is
+ * kept to, not null, zero for no limit
  * @param decisionLogSize the decisions kept for explanations, at least 1
  */
 public record TrafficTunables(int subsetSize, int queueLimit, double hedgeFraction, double retryFraction,
-		Duration peerAge, Duration suspicion, Duration slowStart, Duration adapterLoad, int decisionLogSize) {
+		Duration peerAge, Duration suspicion, Duration slowStart, Duration adapterLoad, Duration firstTokenWait,
+		int decisionLogSize) {
 
 	/** The values used unless a deployment sets others. */
 	public static final TrafficTunables DEFAULTS = new TrafficTunables(24, 4000, 0.02, 0.1, Duration.ofSeconds(10),
-			Duration.ofSeconds(2), Duration.ofSeconds(10), Duration.ofMillis(10), 4096);
+			Duration.ofSeconds(2), Duration.ofSeconds(10), Duration.ofMillis(10), Duration.ZERO, 4096);
 
 	/**
 	 * Creates tunables.
@@ -35,6 +38,7 @@
 		Objects.requireNonNull(suspicion, "suspicion");
 		Objects.requireNonNull(slowStart, "slowStart");
 		Objects.requireNonNull(adapterLoad, "adapterLoad");
+		Objects.requireNonNull(firstTokenWait, "firstTokenWait");
 		if (subsetSize < 2 || queueLimit < 1 || decisionLogSize < 1) {
 			throw new IllegalArgumentException("sizes of traffic tunables out of range");
 		}
@@ -57,7 +61,7 @@
 	 */
 	public TrafficTunables withQueueLimit(int limit) {
 		return new TrafficTunables(this.subsetSize, limit, this.hedgeFraction, this.retryFraction, this.peerAge,
-				this.suspicion, this.slowStart, this.adapterLoad, this.decisionLogSize);
+				this.suspicion, this.slowStart, this.adapterLoad, this.firstTokenWait, this.decisionLogSize);
 	}
 
 	/**
@@ -67,7 +71,17 @@
 	 */
 	public TrafficTunables withHedgeFraction(double fraction) {
 		return new TrafficTunables(this.subsetSize, this.queueLimit, fraction, this.retryFraction, this.peerAge,
-				this.suspicion, this.slowStart, this.adapterLoad, this.decisionLogSize);
+				this.suspicion, this.slowStart, this.adapterLoad, this.firstTokenWait, this.decisionLogSize);
+	}
+
+	/**
+	 * Returns a copy with another limit on the queue of an engine.
+	 * @param wait the time from a send to the first token, not null, zero for no limit
+	 * @return the copy, never null
+	 */
+	public TrafficTunables withFirstTokenWait(Duration wait) {
+		return new TrafficTunables(this.subsetSize, this.queueLimit, this.hedgeFraction, this.retryFraction,
+				this.peerAge, this.suspicion, this.slowStart, this.adapterLoad, wait, this.decisionLogSize);
 	}
 
 }
