--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -58,6 +58,23 @@
 	/** Part of the grace period that is left for the end of the process. */
 	private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
 
+	private static final int SUBSET_SIZE = 24;
+
+	private static final int QUEUE_LIMIT = 4000;
+
+	/** A hedge is a second send, and the budget for those is needed for failures. */
+	private static final double NO_HEDGES = 0;
+
+	private static final Duration PEER_AGE = Duration.ofSeconds(5);
+
+	private static final Duration SUSPICION = Duration.ofSeconds(1);
+
+	private static final Duration SLOW_START = Duration.ofSeconds(2);
+
+	private static final Duration ADAPTER_LOAD = Duration.ofMillis(30);
+
+	private static final int DECISION_LOG_SIZE = 1024;
+
 	/**
 	 * Longest queue in an engine; the shortest target of a first event is half a second.
 	 */
@@ -105,9 +122,9 @@
 	private EdgeDaemon(EdgeSettings settings) {
 		this.settings = settings;
 		this.client = BackendClient.create(this.loop);
-		TrafficTunables tunables = new TrafficTunables(24, 4000, 0, settings.retryRatio * RETRY_SHARE,
-				Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(30),
-				FIRST_TOKEN_WAIT, 1024);
+		TrafficTunables tunables = new TrafficTunables(SUBSET_SIZE, QUEUE_LIMIT, NO_HEDGES,
+				settings.retryRatio * RETRY_SHARE, PEER_AGE, SUSPICION, SLOW_START, ADAPTER_LOAD, FIRST_TOKEN_WAIT,
+				DECISION_LOG_SIZE);
 		this.traffic = DefaultTrafficController.create(HostId.of(settings.hostId), DataCentre.of(settings.dataCentre),
 				UUID.randomUUID().toString().substring(0, 8), settings.hostId.hashCode(), tunables);
 		this.forwarder = Forwarder.create(this.loop, this.client, new PlatformHeaders(), this.traffic, this.metrics);
