Pick the ports of test fleets below the range of outgoing connections

Cause: ConfigurationSpreadTests failed once in one of two whole runs at the same time: nothing listened at the admin port of a daemon that had been ready. Ports were picked by binding port 0 and closing, so another process could take them before the daemon did. Ruled out: the run of the same commit beside it and two earlier whole runs passed. Change: ports come from a range of their own with another start in each test process. No check is changed.

--- a/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 
 import org.celeryhill.cli.CeleryhillMain;
@@ -303,6 +305,22 @@
 	/** A daemon with its ports, which stay the same when it is replaced. */
 	private static final class Daemon {
 
+		/** First port of the range that fleets take theirs from. */
+		private static final int FIRST_PORT = 12_000;
+
+		/** Number of ports in the range. */
+		private static final int PORTS = 8_000;
+
+		/**
+		 * Spreads the starts of test processes, whose ids are often close, over the
+		 * range.
+		 */
+		private static final int SPREAD = 211;
+
+		/** The next port to try. */
+		private static final AtomicInteger NEXT_PORT = new AtomicInteger(
+				(int) (ProcessHandle.current().pid() % PORTS * SPREAD));
+
 		/** Host id. */
 		private final String name;
 
@@ -326,12 +344,20 @@
 			return URI.create("http://127.0.0.1:" + port);
 		}
 
+		// Ports below the range of outgoing connections, from another start in each test
+		// process, so that fleets that run at the same time do not pick the same ones.
 		private static int freePort() {
-			try (ServerSocket socket = new ServerSocket(0)) {
-				return socket.getLocalPort();
-			}
-			catch (IOException ex) {
-				throw new UncheckedIOException(ex);
+			while (true) {
+				int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+				try (ServerSocket socket = new ServerSocket(port)) {
+					return socket.getLocalPort();
+				}
+				catch (BindException ex) {
+					// Another process has the port; the next one is tried.
+				}
+				catch (IOException ex) {
+					throw new UncheckedIOException(ex);
+				}
 			}
 		}
 
