--- a/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/Fleet.java
@@ -15,8 +15,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.BooleanSupplier;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
 import org.celeryhill.cli.CeleryhillMain;
