Name a backend server's life once; remove accessors that nothing calls

Change: ServerEntry.life(); connectionCount, connectCount, ids and report(id) are gone. No change of behaviour.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -200,7 +200,7 @@
 		Set<BackendClient.PoolKey> used = new HashSet<>();
 		used.add(new BackendClient.PoolKey(this.settings.storeAddress(), "store"));
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
-			used.add(new BackendClient.PoolKey(entry.address(), entry.id().value() + "@" + entry.incarnation()));
+			used.add(new BackendClient.PoolKey(entry.address(), entry.life()));
 		}
 		this.client.closeIdle((key) -> key.life().equals("peer") || used.contains(key));
 		this.front.closeExpired();
--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -43,8 +43,6 @@
 
 	private final EventLoop loop;
 
-	private long connects;
-
 	private BackendClient(EventLoop loop) {
 		this.loop = loop;
 		this.bootstrap = new Bootstrap().group(loop)
@@ -98,7 +96,6 @@
 	}
 
 	private void connect(PoolKey key, Exchange exchange) {
-		this.connects++;
 		BackendConnection connection = new BackendConnection(this, key);
 		ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
 			@Override
@@ -155,14 +152,6 @@
 		}
 	}
 
-	/**
-	 * Returns the number of connections that were opened.
-	 * @return the number since the start
-	 */
-	public long connectCount() {
-		return this.connects;
-	}
-
 	EventLoop loop() {
 		return this.loop;
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -73,8 +73,7 @@
 		boolean isFirst = this.call.sends == 0;
 		this.call.sends++;
 		FullHttpRequest copy = copyRequest();
-		BackendClient.PoolKey pool = new BackendClient.PoolKey(this.server.address(),
-				this.server.id().value() + "@" + this.server.incarnation());
+		BackendClient.PoolKey pool = new BackendClient.PoolKey(this.server.address(), this.server.life());
 		Duration idle = this.call.route.isRepeatable() ? MAX_IDLE_REPEATABLE : MAX_IDLE_UNREPEATABLE;
 		this.call.forwarder.metrics().sent(isFirst);
 		LOG.info("request_sent", "request", this.call.key, "attempt", this.id, "server", serverId(), "route",
--- a/forward/src/main/java/org/celeryhill/forward/FrontServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/FrontServer.java
@@ -160,14 +160,6 @@
 		}
 	}
 
-	/**
-	 * Returns the number of open connections.
-	 * @return the number
-	 */
-	public int connectionCount() {
-		return this.connections.size();
-	}
-
 	static long nanos(long millis) {
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
@@ -1,7 +1,6 @@
 package org.celeryhill.forward;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -169,15 +168,6 @@
 		return this.states.values().stream().map((state) -> state.entry).toList();
 	}
 
-	/**
-	 * Returns the report of an engine as this host believes it.
-	 * @param id the engine, not null
-	 * @return the report, empty for plain services and unknown backend servers
-	 */
-	public Optional<EngineReport> report(BackendServerId id) {
-		return Optional.ofNullable(this.states.get(id)).flatMap(this::report);
-	}
-
 	/**
 	 * Returns whether an engine holds an adapter as far as this host knows.
 	 * @param id the engine, not null
@@ -287,14 +277,6 @@
 		return adapters;
 	}
 
-	/**
-	 * Returns the ids of all backend servers.
-	 * @return the ids, never null
-	 */
-	public Collection<BackendServerId> ids() {
-		return List.copyOf(this.states.keySet());
-	}
-
 	private static final class State {
 
 		private final Set<ModelId> extraAdapters = new HashSet<>();
--- a/forward/src/main/java/org/celeryhill/forward/ServerEntry.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerEntry.java
@@ -48,6 +48,15 @@
 		}
 	}
 
+	/**
+	 * Returns what tells this life of the backend server from other owners of its
+	 * address.
+	 * @return id and incarnation as one text, never null
+	 */
+	public String life() {
+		return this.id.value() + "@" + this.incarnation;
+	}
+
 	/**
 	 * Returns whether this is another life of a backend server than the other entry.
 	 * @param other the other entry, not null
