Plan swaps with arriving replicas, engine load and models not asked for yet

A model whose removal waited for runs on the busiest engine counted as replaced, so the next model stayed absent for 18 s. Models that nobody had asked for yet were removed in the first seconds for copies of others and came into demand seconds later, from the weight store.

Change: a new replica gains only what the ready ones, and those that arrive no later than it could, leave; a removal that waits is expected to wait as long again; a gain counts for more on engines with little demand; a model not asked for yet has a worth of its own, a model that was in demand half of the former one.

--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -50,6 +50,8 @@
 
 	private static final long MIN_STAY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+	private static final double REMOVAL_SECONDS = 0.6;
+
 	private static final long MODEL_TIMEOUT_MS = 25_000;
 
 	/** Sends of one command that gets no answer, before the state is asked for. */
@@ -197,17 +199,34 @@
 	// Returns the time until the model that is being loaded can be used.
 	Optional<Duration> timeUntilLoaded() {
 		return this.change.filter(ModelChange::isLoad).map((one) -> {
-			EngineProfile.Model model = this.profile.models()
-				.stream()
-				.filter((candidate) -> candidate.id().equals(one.model()))
-				.findFirst()
-				.orElseThrow();
-			Duration whole = one.isCold() ? model.coldLoad() : model.diskLoad();
-			Duration left = whole.minusNanos(System.nanoTime() - one.decidedNanos());
+			Duration left = loadTime(one.model(), one.isCold()).minusNanos(System.nanoTime() - one.decidedNanos());
 			return left.isNegative() ? Duration.ZERO : left;
 		});
 	}
 
+	// Returns the models that are to come with the seconds until they can be used. A
+	// removal waits for the runs that use the model, so one that has taken long is
+	// expected to take as long again.
+	Map<ModelId, Double> arriving() {
+		Map<ModelId, Double> arriving = new HashMap<>();
+		this.change.ifPresent((one) -> {
+			timeUntilLoaded().ifPresent((left) -> arriving.put(one.model(), left.toMillis() / 1e3));
+			double removal = Math.max(REMOVAL_SECONDS, (System.nanoTime() - one.decidedNanos()) / 1e9);
+			this.following.ifPresent((next) -> arriving.put(next.model(),
+					removal + loadTime(next.model(), next.isCold()).toMillis() / 1e3));
+		});
+		return arriving;
+	}
+
+	private Duration loadTime(ModelId model, boolean isCold) {
+		EngineProfile.Model found = this.profile.models()
+			.stream()
+			.filter((candidate) -> candidate.id().equals(model))
+			.findFirst()
+			.orElseThrow();
+		return isCold ? found.coldLoad() : found.diskLoad();
+	}
+
 	// Starts to load a model.
 	void load(ModelId model, boolean isCold, String reason) {
 		start(new ModelChange(true, model, isCold, System.nanoTime(), 0, false), reason);
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -154,7 +154,8 @@
 					new DemandMeter.Rate(0, 0));
 			sizes.put(model.id(), model.bytes());
 			models.add(new SwapPlanner.ModelInput(model.id(), model.bytes(), rate.valuePerSecond(),
-					rate.latePerSecond(), unservedSeconds(service, model.id(), rate), peak(service, model.id(), rate)));
+					rate.latePerSecond(), unservedSeconds(service, model.id(), rate), peak(service, model.id(), rate),
+					model.diskLoad().toMillis() / 1e3, model.coldLoad().toMillis() / 1e3));
 		}
 		List<SwapPlanner.EngineInput> inputs = new ArrayList<>();
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
@@ -195,7 +196,8 @@
 			reserve = sizes.values().stream().mapToLong(Long::longValue).max().orElse(0);
 		}
 		return new SwapPlanner.EngineInput(entry.id(), commander.freeBytes() - reserve, residents,
-				commander.removable(), near, commander.isOpen() && !entry.isDraining(), !entry.isDraining());
+				commander.removable(), commander.arriving(), near, commander.isOpen() && !entry.isDraining(),
+				!entry.isDraining());
 	}
 
 	private int allowedLoads(EngineProfile profile) {
--- a/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -43,8 +43,16 @@
 	/** Worth in a second below which the demand says too little to remove a model. */
 	private static final double MIN_KNOWN_VALUE = 5;
 
-	/** Part of a model's past worth for which its last replica is kept. */
-	private static final double RETURN_PART = 0.08;
+	/** Part of the worth that a model may come to for which its last replica is kept. */
+	private static final double RETURN_PART = 0.04;
+
+	/** Part of all worth that a model may come to that nobody has asked for yet. */
+	private static final double UNSEEN_PART = 0.15;
+
+	/**
+	 * Part of an idle model's worth that is left where another engine has its weights.
+	 */
+	private static final double NEAR_PART = 0.5;
 
 	/** Part of a model's worth that is at risk when one of two replicas leaves. */
 	private static final double SECOND_REPLICA = 0.3;
@@ -54,6 +62,9 @@
 	 */
 	private static final double COLD_PART = 0.25;
 
+	/** A replica that arrives at most this much later than a new one is as good. */
+	private static final double ARRIVAL_SLACK_SECONDS = 1;
+
 	private SwapPlanner() {
 	}
 
@@ -83,12 +94,14 @@
 	 * @param freeBytes the memory that a load may use
 	 * @param residents the models that it holds or loads, with their sizes
 	 * @param removable the residents that may be removed now
+	 * @param arriving the residents that cannot be used yet, with the expected seconds
+	 * until they can
 	 * @param near the models whose weights it has in its host memory or on its disk
 	 * @param isOpen whether it takes a command now
 	 * @param isCounted whether it serves what it holds
 	 */
 	public record EngineInput(BackendServerId id, long freeBytes, Map<ModelId, Long> residents, Set<ModelId> removable,
-			Set<ModelId> near, boolean isOpen, boolean isCounted) {
+			Map<ModelId, Double> arriving, Set<ModelId> near, boolean isOpen, boolean isCounted) {
 
 		/**
 		 * Checks the arguments.
@@ -97,6 +110,7 @@
 			Objects.requireNonNull(id, "id");
 			residents = Map.copyOf(residents);
 			removable = Set.copyOf(removable);
+			arriving = Map.copyOf(arriving);
 			near = Set.copyOf(near);
 		}
 
@@ -111,9 +125,11 @@
 	 * @param latePerSecond the worth that was answered late or not at all
 	 * @param unservedSeconds the time for which requests have waited without a replica
 	 * @param peakPerSecond the most worth that was asked for in the last minutes
+	 * @param nearSeconds the time of a load from an engine's own copy
+	 * @param coldSeconds the time of a load from the weight store
 	 */
 	public record ModelInput(ModelId id, long bytes, double valuePerSecond, double latePerSecond,
-			double unservedSeconds, double peakPerSecond) {
+			double unservedSeconds, double peakPerSecond, double nearSeconds, double coldSeconds) {
 
 		/**
 		 * Checks the arguments.
@@ -140,10 +156,16 @@
 
 		private final Map<BackendServerId, EngineInput> open = new HashMap<>();
 
-		private final Map<ModelId, Integer> replicas = new HashMap<>();
+		private final Map<ModelId, Integer> ready = new HashMap<>();
+
+		private final Map<ModelId, List<Double>> arriving = new HashMap<>();
+
+		private final Map<ModelId, Integer> copies = new HashMap<>();
 
 		private final Map<ModelId, ModelInput> models = new HashMap<>();
 
+		private final Map<BackendServerId, Double> room = new HashMap<>();
+
 		private final List<EngineInput> engines;
 
 		private final double totalValue;
@@ -161,24 +183,56 @@
 				value += model.valuePerSecond();
 			}
 			this.totalValue = value;
-			for (EngineInput engine : engines) {
-				if (engine.isCounted()) {
-					engine.residents().keySet().forEach((model) -> this.replicas.merge(model, 1, Integer::sum));
+			engines.forEach(this::count);
+			engines.forEach((engine) -> this.room.put(engine.id(), room(engine)));
+		}
+
+		private void count(EngineInput engine) {
+			if (engine.isCounted()) {
+				for (ModelId model : engine.residents().keySet()) {
+					Double seconds = engine.arriving().get(model);
+					if (seconds == null) {
+						this.ready.merge(model, 1, Integer::sum);
+					}
+					else {
+						this.arriving.computeIfAbsent(model, (key) -> new ArrayList<>()).add(seconds);
+					}
 				}
-				if (engine.isOpen()) {
-					this.open.put(engine.id(), engine);
+				engine.near().forEach((model) -> this.copies.merge(model, 1, Integer::sum));
+			}
+			if (engine.isOpen()) {
+				this.open.put(engine.id(), engine);
+			}
+		}
+
+		// Returns the part of a gain that an engine with its present load can bring: 1
+		// for
+		// the mean load, 2 for none.
+		private double room(EngineInput engine) {
+			if (this.totalValue <= 0) {
+				return 1;
+			}
+			double load = 0;
+			for (ModelId model : engine.residents().keySet()) {
+				if (!engine.arriving().containsKey(model) && this.models.containsKey(model)) {
+					load += this.models.get(model).valuePerSecond() / Math.max(1, ready(model));
 				}
 			}
+			return 2 / (1 + load * this.engines.size() / this.totalValue);
+		}
+
+		private int ready(ModelId model) {
+			return this.ready.getOrDefault(model, 0);
 		}
 
 		Optional<Step> best() {
 			List<ModelInput> wanted = new ArrayList<>(this.models.values());
 			wanted.removeIf((model) -> this.loading.contains(model.id()));
-			wanted.sort(Comparator.comparingDouble((ModelInput model) -> -gainOfAdding(model))
+			wanted.sort(Comparator.comparingDouble((ModelInput model) -> -gainOfAdding(model, false))
 				.thenComparing(ModelInput::id));
 			Step best = null;
 			for (ModelInput model : wanted) {
-				if (best != null && best.gain() >= gainOfAdding(model)) {
+				if (best != null && best.gain() >= 2 * gainOfAdding(model, false)) {
 					break;
 				}
 				for (EngineInput engine : this.engines) {
@@ -196,7 +250,7 @@
 			if (engine.residents().containsKey(model.id()) || (isCold && this.coldLoads <= 0)) {
 				return Optional.empty();
 			}
-			double gain = gainOfAdding(model) * (isCold ? COLD_PART : 1);
+			double gain = gainOfAdding(model, isCold) * this.room.get(engine.id()) * (isCold ? COLD_PART : 1);
 			Optional<ModelId> victim = Optional.empty();
 			if (engine.freeBytes() < model.bytes()) {
 				if (this.totalValue < MIN_KNOWN_VALUE) {
@@ -206,9 +260,9 @@
 				if (victim.isEmpty()) {
 					return Optional.empty();
 				}
-				gain -= LOSS_FACTOR * lossOfRemoving(this.models.get(victim.get()));
+				gain -= LOSS_FACTOR * lossOfRemoving(this.models.get(victim.get()), engine);
 			}
-			boolean isFree = victim.isEmpty() && this.replicas.getOrDefault(model.id(), 0) == 0;
+			boolean isFree = victim.isEmpty() && ready(model.id()) == 0 && !this.arriving.containsKey(model.id());
 			double least = isFree ? 0 : this.totalValue * MIN_GAIN;
 			return (gain > least) ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, gain))
 					: Optional.empty();
@@ -219,32 +273,41 @@
 			for (ModelId candidate : engine.removable()) {
 				boolean isLarge = engine.residents().getOrDefault(candidate, 0L) >= missing;
 				boolean isKnown = this.models.containsKey(candidate);
-				if (isLarge && isKnown && (best == null
-						|| lossOfRemoving(this.models.get(candidate)) < lossOfRemoving(this.models.get(best)))) {
+				if (isLarge && isKnown && (best == null || lossOfRemoving(this.models.get(candidate),
+						engine) < lossOfRemoving(this.models.get(best), engine))) {
 					best = candidate;
 				}
 			}
 			return Optional.ofNullable(best);
 		}
 
-		private double gainOfAdding(ModelInput model) {
-			int count = this.replicas.getOrDefault(model.id(), 0);
+		// Replicas that arrive before a new one could, or soon after, count like ready
+		// ones.
+		private double gainOfAdding(ModelInput model, boolean isCold) {
+			double latest = (isCold ? model.coldSeconds() : model.nearSeconds()) + ARRIVAL_SLACK_SECONDS;
+			long soon = this.arriving.getOrDefault(model.id(), List.of())
+				.stream()
+				.filter((seconds) -> seconds <= latest)
+				.count();
+			double count = ready(model.id()) + soon;
 			if (count == 0) {
 				return idleValue(model) + model.valuePerSecond() * (1 + UNSERVED_FACTOR * model.unservedSeconds());
 			}
-			return RESCUED * model.latePerSecond() / count;
+			double late = Math.max(0, model.latePerSecond() - soon * model.valuePerSecond() / count);
+			return RESCUED * Math.min(late, model.valuePerSecond() / (count + 1));
 		}
 
-		// A model that was in demand before may be again, and its weights take seconds to
-		// come.
+		// A model may come into demand, and its weights take seconds to come.
 		private double idleValue(ModelInput model) {
-			return IDLE_VALUE + RETURN_PART * model.peakPerSecond();
+			double value = (model.peakPerSecond() > 0) ? model.peakPerSecond() : UNSEEN_PART * this.totalValue;
+			return IDLE_VALUE + RETURN_PART * value;
 		}
 
-		private double lossOfRemoving(ModelInput model) {
-			int count = this.replicas.getOrDefault(model.id(), 0);
+		private double lossOfRemoving(ModelInput model, EngineInput engine) {
+			int count = ready(model.id());
 			if (count <= 1) {
-				return idleValue(model) + model.valuePerSecond();
+				int elsewhere = this.copies.getOrDefault(model.id(), 0) - (engine.near().contains(model.id()) ? 1 : 0);
+				return idleValue(model) * ((elsewhere > 0) ? NEAR_PART : 1) + model.valuePerSecond();
 			}
 			return model.latePerSecond() + SECOND_REPLICA * model.valuePerSecond() / (count * (count - 1));
 		}
@@ -252,8 +315,7 @@
 		void take(Step step) {
 			this.open.remove(step.engine());
 			this.loading.add(step.load());
-			this.replicas.merge(step.load(), 1, Integer::sum);
-			step.unload().ifPresent((model) -> this.replicas.merge(model, -1, Integer::sum));
+			step.unload().ifPresent((model) -> this.ready.merge(model, -1, Integer::sum));
 			this.coldLoads -= step.isCold() ? 1 : 0;
 		}
 
--- a/placement/src/test/java/org/celeryhill/placement/SwapPlannerTests.java
+++ b/placement/src/test/java/org/celeryhill/placement/SwapPlannerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.celeryhill.base.BackendServerId;
@@ -81,7 +82,7 @@
 	// seconds to come back.
 	@Test
 	void keepsAModelThatWasInDemand() {
-		SwapPlanner.ModelInput paused = new SwapPlanner.ModelInput(WARM, SIZE, 0, 0, 0, 30);
+		SwapPlanner.ModelInput paused = new SwapPlanner.ModelInput(WARM, SIZE, 0, 0, 0, 30, 2, 8);
 		List<SwapPlanner.EngineInput> engines = List
 			.of(engine("e1", 0, Map.of(HOT, SIZE, WARM, SIZE), Set.of(MISSING)));
 		assertThat(SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 0.3, 0, 1)), 1))
@@ -112,18 +113,68 @@
 	@Test
 	void leavesClosedEnginesAlone() {
 		SwapPlanner.EngineInput busy = new SwapPlanner.EngineInput(BackendServerId.of("e1"), 100, Map.of(), Set.of(),
-				Set.of(), false, true);
+				Map.of(), Set.of(), false, true);
 		assertThat(SwapPlanner.plan(List.of(busy), List.of(model(MISSING, 9, 0, 1)), 4)).isEmpty();
 	}
 
+	// Guards against many engines that load one model for seconds while demand moves on.
+	@Test
+	void countsTheReplicasThatArrive() {
+		List<SwapPlanner.EngineInput> engines = List.of(engine("e1", 0, Map.of(HOT, SIZE), Set.of()),
+				arriving("e2", HOT, 6), arriving("e3", HOT, 7), engine("e4", 0, Map.of(IDLE, SIZE), Set.of()));
+		List<SwapPlanner.ModelInput> models = List.of(model(HOT, 30, 18, 0), model(IDLE, 0, 0, 0));
+		assertThat(SwapPlanner.plan(engines, models, 2)).isEmpty();
+	}
+
+	// Guards against a model that stays absent while slow loads and stuck removals are
+	// under way, though an engine has a copy close by.
+	@Test
+	void loadsFromANearCopyAheadOfSlowArrivals() {
+		List<SwapPlanner.EngineInput> engines = List.of(arriving("e1", MISSING, 6),
+				engine("e2", 0, Map.of(IDLE, SIZE), Set.of(MISSING)));
+		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
+				List.of(model(MISSING, 30, 30, 0), model(IDLE, 0, 0, 0)), 0);
+		assertThat(steps).extracting(SwapPlanner.Step::load).containsExactly(MISSING);
+	}
+
+	// Guards against a further replica on an engine that is busy with other models.
+	@Test
+	void prefersTheEngineWithTheLeastLoad() {
+		List<SwapPlanner.EngineInput> engines = List.of(engine("e1", 0, Map.of(HOT, SIZE), Set.of()),
+				engine("e2", 0, Map.of(WARM, SIZE, IDLE, SIZE), Set.of(HOT)),
+				engine("e3", 0, Map.of(IDLE, SIZE), Set.of(HOT)));
+		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
+				List.of(model(HOT, 30, 20, 0), model(WARM, 30, 0, 0), model(IDLE, 0, 0, 0)), 0);
+		assertThat(steps).hasSize(1);
+		assertThat(steps.get(0).engine()).isEqualTo(BackendServerId.of("e3"));
+	}
+
+	// Guards against the removal of models that come into demand next for copies of
+	// others.
+	@Test
+	void keepsAModelThatNobodyHasAskedForYet() {
+		ModelId rare = ModelId.of("rare");
+		SwapPlanner.ModelInput seen = new SwapPlanner.ModelInput(rare, SIZE, 0, 0, 0, 0.3, 2, 8);
+		List<SwapPlanner.EngineInput> engines = List
+			.of(engine("e1", 0, Map.of(HOT, SIZE, IDLE, SIZE, rare, SIZE), Set.of(MISSING)));
+		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
+				List.of(model(HOT, 30, 0, 0), model(IDLE, 0, 0, 0), seen, model(MISSING, 5, 5, 0)), 0);
+		assertThat(steps).extracting(SwapPlanner.Step::unload).containsExactly(Optional.of(rare));
+	}
+
+	private static SwapPlanner.EngineInput arriving(String id, ModelId model, double seconds) {
+		return new SwapPlanner.EngineInput(BackendServerId.of(id), 0, Map.of(model, SIZE), Set.of(),
+				Map.of(model, seconds), Set.of(), false, true);
+	}
+
 	private static SwapPlanner.EngineInput engine(String id, long free, Map<ModelId, Long> residents,
 			Set<ModelId> near) {
-		return new SwapPlanner.EngineInput(BackendServerId.of(id), free, residents, residents.keySet(), near, true,
-				true);
+		return new SwapPlanner.EngineInput(BackendServerId.of(id), free, residents, residents.keySet(), Map.of(), near,
+				true, true);
 	}
 
 	private static SwapPlanner.ModelInput model(ModelId id, double value, double late, double unserved) {
-		return new SwapPlanner.ModelInput(id, SIZE, value, late, unserved, value);
+		return new SwapPlanner.ModelInput(id, SIZE, value, late, unserved, value, 2, 8);
 	}
 
 }
