Follow the store through the lease holder; take a lease back after a restart

Cause: each host asked the store for the lease each second and kept two feeds open, which every change of a row woke. After a loss of power of all hosts placement stood still for 5.7 s, as the host that held the lease waited for its own lease to run out and then for a turn, although nobody else had sent commands.

The lease lasts half of lease_ms. A host takes the lease of its own earlier life at once; its renewals tell whether the turn has passed. A wait for a turn goes on when a host loses and regains its lease (it was cut short before).

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -25,10 +25,8 @@
 import org.celeryhill.platform.JsonCalls;
 import org.celeryhill.platform.PlatformEngines;
 import org.celeryhill.platform.PlatformHeaders;
-import org.celeryhill.platform.PlatformTables;
 import org.celeryhill.platform.ServerCodec;
 import org.celeryhill.platform.StoreClient;
-import org.celeryhill.platform.StoreFeed;
 import org.celeryhill.platform.StoreTable;
 import org.celeryhill.state.ConditionalWriter;
 import org.celeryhill.state.LeaseStore;
@@ -50,7 +48,7 @@
 	private static final long CONTROL_MS = 50;
 
 	/** Duration of the lease as a part of the time between commands of two holders. */
-	private static final long LEASE_PERCENT = 100;
+	private static final long LEASE_PERCENT = 50;
 
 	/** Time after SIGTERM in which the balancer notices that this host is not ready. */
 	private static final Duration BALANCER_DELAY = Duration.ofMillis(2800);
@@ -111,6 +109,8 @@
 
 	private final PlacementLoop placement;
 
+	private final StoreFollower follower;
+
 	private final PeerService peers;
 
 	private final FrontServer peerServer;
@@ -122,11 +122,9 @@
 	private EdgeDaemon(EdgeSettings settings) {
 		this.settings = settings;
 		this.client = BackendClient.create(this.loop);
-		TrafficTunables tunables = new TrafficTunables(SUBSET_SIZE, QUEUE_LIMIT, NO_HEDGES,
-				settings.retryRatio * RETRY_SHARE, PEER_AGE, SUSPICION, SLOW_START, ADAPTER_LOAD, FIRST_TOKEN_WAIT,
-				DECISION_LOG_SIZE);
 		this.traffic = DefaultTrafficController.create(HostId.of(settings.hostId), DataCentre.of(settings.dataCentre),
-				UUID.randomUUID().toString().substring(0, 8), settings.hostId.hashCode(), tunables);
+				UUID.randomUUID().toString().substring(0, 8), settings.hostId.hashCode(),
+				tunables(settings.retryRatio));
 		this.forwarder = Forwarder.create(this.loop, this.client, new PlatformHeaders(), this.traffic, this.metrics);
 		this.front = FrontServer.create(this.loop, this.forwarder);
 		OperationalHandler readiness = new OperationalHandler(this::isReady, Map.of());
@@ -143,13 +141,19 @@
 				Duration.ofMillis(settings.leaseMillis));
 		this.placement = new PlacementLoop(this.loop, this.forwarder, PlatformEngines.create(calls), this.leadership,
 				this.metrics, settings, this::totalDemand);
+		this.follower = StoreFollower.create(this.store, this.loop, this.configuration, this.forwarder.directory());
 		this.peers = new PeerService(this.loop, calls, this.forwarder, this.leadership, this.placement, demand,
-				this.configuration, settings);
+				this.configuration, this.follower, settings);
 		this.forwarder.setAdapterLoader(this.peers);
 		this.forwarder.setPlacementForecast(this.peers);
 		this.peerServer = FrontServer.create(this.loop, this.peers);
 	}
 
+	static TrafficTunables tunables(double retryRatio) {
+		return new TrafficTunables(SUBSET_SIZE, QUEUE_LIMIT, NO_HEDGES, retryRatio * RETRY_SHARE, PEER_AGE, SUSPICION,
+				SLOW_START, ADAPTER_LOAD, FIRST_TOKEN_WAIT, DECISION_LOG_SIZE);
+	}
+
 	static EdgeDaemon create(EdgeSettings settings) {
 		return new EdgeDaemon(settings);
 	}
@@ -168,26 +172,24 @@
 		AtomicLong count = new AtomicLong();
 		ConditionalWriter writer = ConditionalWriter.create(StoreTable.create(this.store),
 				() -> AttemptId.of(prefix + "-" + count.incrementAndGet()), RetryPolicy.immediate());
-		return LeaseStore.create(writer, timer, HostId.of(this.settings.peer), leaseDuration());
+		return LeaseStore.createForSoleProcess(writer, timer, HostId.of(this.settings.peer), leaseDuration());
 	}
 
 	void start() throws InterruptedException {
 		LOG.info("edge_starting", "host", this.settings.hostId, "data_centre", this.settings.dataCentre, "front",
 				this.settings.front, "store", this.settings.store);
-		StoreFeed.start(this.store, this.loop, PlatformTables.OPERATOR, this.configuration);
-		StoreFeed.start(this.store, this.loop, PlatformTables.BACKEND_SERVERS,
-				new HostListFollower(this.loop, this.forwarder.directory()));
 		this.front.listen(this.settings.frontAddress()).sync();
 		this.ready.listen(this.settings.readyAddress()).sync();
 		this.peerServer.listen(ServerCodec.address(this.settings.peer)).sync();
 		this.operations.listen(this.settings.metricsAddress()).sync();
 		this.loop.scheduleAtFixedRate(this::housekeep, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(this::control, CONTROL_MS, CONTROL_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::control, 0, CONTROL_MS, TimeUnit.MILLISECONDS);
 		LOG.info("edge_started", "host", this.settings.hostId);
 	}
 
 	private void control() {
 		this.leadership.tick();
+		this.follower.tick(this.leadership.isHolder());
 		this.placement.tick();
 		this.peers.tick();
 	}
--- a/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
@@ -76,4 +76,17 @@
 		this.regainedNanos = System.nanoTime();
 	}
 
+	// Notes that another host reached the store again some time ago.
+	void regained(long agoMillis) {
+		long then = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(agoMillis);
+		if (then - this.regainedNanos > 0) {
+			this.regainedNanos = then;
+		}
+	}
+
+	// Returns the time since the store could be reached again.
+	long millisSinceRegained() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.regainedNanos);
+	}
+
 }
--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -13,6 +13,7 @@
 import org.celeryhill.platform.ServerCodec;
 import org.celeryhill.state.Lease;
 import org.celeryhill.state.LeaseName;
+import org.celeryhill.state.LeaseRecord;
 import org.celeryhill.state.LeaseStore;
 
 /**
@@ -27,6 +28,17 @@
 	/** Added to the time between the commands of two holders. */
 	private static final Duration TURN_SLACK = Duration.ofMillis(300);
 
+	/**
+	 * A holder that was silent for longer may be gone; three beats fit into this time.
+	 */
+	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+	/**
+	 * Renewals that come early after a pause shorten the time that their number stands
+	 * for.
+	 */
+	private static final int EARLY_RENEWALS_FACTOR = 2;
+
 	private static final LeaseName NAME = LeaseName.of("placement");
 
 	private final ExecutorService worker = Executors.newSingleThreadExecutor((task) -> {
@@ -45,12 +57,18 @@
 
 	private final Duration turn;
 
-	private final PauseDetector pauses = new PauseDetector(System.nanoTime(), wallNanos());
+	private final PauseDetector pauses = new PauseDetector(System.nanoTime(), PauseDetector.wallNanos());
 
 	private Optional<Lease> lease = Optional.empty();
 
+	private Optional<LeaseRecord> written = Optional.empty();
+
 	private Optional<InetSocketAddress> holder = Optional.empty();
 
+	private boolean isHolderHeard;
+
+	private long heardNanos;
+
 	private long firstCommandNanos;
 
 	private long lastToken;
@@ -70,10 +88,6 @@
 		this.lastCallNanos = System.nanoTime() - duration.toNanos();
 	}
 
-	private static long wallNanos() {
-		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
-	}
-
 	// Renews or asks for the lease when that is due. Called several times a second.
 	void tick() {
 		look();
@@ -84,7 +98,8 @@
 		}
 		boolean isDue = now - this.lastCallNanos >= this.duration.toNanos() / 3
 				|| this.lease.filter((held) -> !this.pauses.isAfterPause(held.renewedNanos())).isPresent();
-		if (this.isCalling || this.isStopping || !isDue) {
+		boolean isSilent = this.lease.isPresent() || !this.isHolderHeard || now - this.heardNanos > SILENCE_NANOS;
+		if (this.isCalling || this.isStopping || !isDue || !isSilent) {
 			return;
 		}
 		this.isCalling = true;
@@ -97,7 +112,7 @@
 	}
 
 	private void look() {
-		if (this.pauses.look(System.nanoTime(), wallNanos())) {
+		if (this.pauses.look(System.nanoTime(), PauseDetector.wallNanos())) {
 			LOG.warn("pause_suspected", "holder", this.lease.isPresent());
 		}
 	}
@@ -106,7 +121,7 @@
 		this.isCalling = false;
 		look();
 		if (result instanceof LeaseStore.Granted granted) {
-			granted(before, granted.lease());
+			granted(before, granted);
 		}
 		else if (result instanceof LeaseStore.HeldBy other) {
 			heldBy(other.holder());
@@ -120,19 +135,41 @@
 		}
 	}
 
-	private void granted(Optional<Lease> before, Lease next) {
+	private void granted(Optional<Lease> before, LeaseStore.Granted granted) {
+		Lease next = granted.lease();
 		if (before.isEmpty()) {
-			// Nobody else held the lease if the token is this host's own or the next
-			// own.
-			boolean isAlone = next.token().value() <= this.lastToken + 1;
-			Duration wait = isAlone ? Duration.ZERO : turnWait();
-			this.firstCommandNanos = System.nanoTime() + wait.toNanos();
-			LOG.info("lease_granted", "token", next.token().value(), "commands_after_ms", wait.toMillis());
+			long now = System.nanoTime();
+			long first = now + (isTurnOver(granted) ? 0 : turnWait().toNanos());
+			if (!isOwnAgain(next)) {
+				this.firstCommandNanos = first;
+			}
+			LOG.info("lease_granted", "token", next.token().value(), "previous",
+					granted.previous().map((one) -> one.holder().value()).orElse("none"), "commands_after_ms",
+					TimeUnit.NANOSECONDS.toMillis(Math.max(0, this.firstCommandNanos - now)));
 			this.metrics.leaseHeld(true);
 		}
 		this.lease = Optional.of(next);
+		this.written = Optional.of(granted.written());
 		this.lastToken = next.token().value();
 		this.holder = Optional.empty();
+		this.isHolderHeard = false;
+	}
+
+	// Nobody held the lease since this process did; a wait that was under way goes on.
+	private boolean isOwnAgain(Lease next) {
+		return this.lastToken > 0 && next.token().value() <= this.lastToken + 1;
+	}
+
+	// Nobody else can have sent commands lately if an earlier process on this host held
+	// the lease for longer than the wait of its own turn.
+	private boolean isTurnOver(LeaseStore.Granted granted) {
+		if (granted.previous().isEmpty()) {
+			return true;
+		}
+		LeaseRecord previous = granted.previous().get();
+		Duration held = previous.duration().dividedBy(3).multipliedBy(previous.renewals());
+		return previous.holder().equals(granted.written().holder())
+				&& held.compareTo(turnWait().multipliedBy(EARLY_RENEWALS_FACTOR)) >= 0;
 	}
 
 	// A holder stops to send commands a third of the duration before its lease ends.
@@ -153,6 +190,21 @@
 		}
 	}
 
+	// Notes that the holder has answered, with the row of the lease as it wrote it last.
+	void hear(LeaseRecord record) {
+		if (this.lease.isEmpty()) {
+			this.isHolderHeard = true;
+			this.heardNanos = System.nanoTime();
+			this.leases.hear(NAME, record);
+			heldBy(record.holder());
+		}
+	}
+
+	// Returns the row of the lease as this host wrote it last, if it holds the lease.
+	Optional<LeaseRecord> written() {
+		return this.lease.isPresent() ? this.written : Optional.empty();
+	}
+
 	private void lost() {
 		this.lease = Optional.empty();
 		this.metrics.leaseHeld(false);
--- a/edge/src/main/java/org/celeryhill/edge/PauseDetector.java
+++ b/edge/src/main/java/org/celeryhill/edge/PauseDetector.java
@@ -1,5 +1,7 @@
 package org.celeryhill.edge;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Notices that the process or its machine may have stood still, or that a clock has
  * stepped. Not thread-safe.
@@ -25,6 +27,11 @@
 		this.lastWallNanos = wallNanos;
 	}
 
+	// Returns the time of day.
+	static long wallNanos() {
+		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+	}
+
 	/**
 	 * Takes the clocks and returns whether a pause may lie since the last look.
 	 * @param nanos the monotonic time
--- a/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.celeryhill.base.UsageTotals;
 import org.celeryhill.forward.RevisionMapping;
 import org.celeryhill.platform.JsonCalls;
+import org.celeryhill.platform.StoreClient;
 
 /**
  * Bodies of the messages between edge daemons.
@@ -107,6 +109,28 @@
 			.put("adapter", adapter);
 	}
 
+	static void encodeRows(ObjectNode node, StoreClient.Rows found) {
+		node.put("version", found.version());
+		ArrayNode list = node.putArray("rows");
+		for (StoreClient.StoredRow row : found.rows()) {
+			list.addObject()
+				.put("key", row.key())
+				.put("version", row.version())
+				.put("isDeleted", row.isDeleted())
+				.put("value", row.value());
+		}
+	}
+
+	static StoreClient.Rows decodeRows(JsonNode node) {
+		List<StoreClient.StoredRow> rows = new ArrayList<>();
+		for (JsonNode row : node.path("rows")) {
+			rows.add(new StoreClient.StoredRow(row.path("key").asText(),
+					Base64.getDecoder().decode(row.path("value").asText()), row.path("version").asLong(),
+					row.path("isDeleted").asBoolean()));
+		}
+		return new StoreClient.Rows(rows, node.path("version").asLong());
+	}
+
 	static Optional<String> text(JsonNode node, String field) {
 		return Optional.of(node.path(field).asText()).filter((value) -> !value.isEmpty());
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -37,12 +37,14 @@
 import org.celeryhill.forward.ResponseChannel;
 import org.celeryhill.platform.JsonCalls;
 import org.celeryhill.platform.ServerCodec;
+import org.celeryhill.state.LeaseRecord;
 
 /**
  * Connects this host with the holder of the placement lease. Each host tells the holder
  * its demand and usage several times a second and learns the usage of the others, the
- * models that are about to leave engines and a newer configuration. A host that does not
- * know the holder asks the hosts that it knows. Must be used on the event loop.
+ * models that are about to leave engines, the engines' rows in the store and a newer
+ * configuration. A host that does not know the holder asks the hosts that it knows. Must
+ * be used on the event loop.
  */
 final class PeerService implements RequestHandler, AdapterLoader, PlacementForecast {
 
@@ -79,6 +81,8 @@
 
 	private final ConfigurationHolder configuration;
 
+	private final StoreFollower follower;
+
 	private final String address;
 
 	private final List<InetSocketAddress> seeds;
@@ -98,7 +102,7 @@
 	private boolean isHolderLost;
 
 	PeerService(EventLoop loop, JsonCalls calls, Forwarder forwarder, Leadership leadership, PlacementLoop placement,
-			DemandMeter demand, ConfigurationHolder configuration, EdgeSettings settings) {
+			DemandMeter demand, ConfigurationHolder configuration, StoreFollower follower, EdgeSettings settings) {
 		this.loop = loop;
 		this.calls = calls;
 		this.forwarder = forwarder;
@@ -106,6 +110,7 @@
 		this.placement = placement;
 		this.demand = demand;
 		this.configuration = configuration;
+		this.follower = follower;
 		this.address = settings.peer;
 		this.seeds = settings.seedAddresses();
 	}
@@ -144,10 +149,12 @@
 		ObjectNode body = JsonCalls.MAPPER.createObjectNode();
 		body.put("address", this.address);
 		body.put("version", this.configuration.version());
+		body.put("servers", this.follower.serverVersion());
 		body.set("usage", PeerMessages.encodeUsage(this.forwarder.usage()));
 		body.set("demand", PeerMessages.encodeDemand(this.demand.rates()));
 		body.set("uses", PeerMessages.encodeModels(List.copyOf(this.uses)));
 		this.uses.clear();
+		long sent = System.nanoTime();
 		this.calls.send(call(target, BEAT, body, BEAT_TIMEOUT)).whenComplete((reply, failure) -> {
 			this.isBeating = false;
 			if (failure != null || reply.status() != HttpResponseStatus.OK.code()) {
@@ -156,7 +163,7 @@
 				LOG.info("beat_failed", "target", target, "cause", (failure != null) ? failure : reply.status());
 				return;
 			}
-			receive(reply.body());
+			receive(reply.body(), sent);
 		});
 	}
 
@@ -164,17 +171,21 @@
 		return new JsonCalls.Call(target, "peer", "POST", path, Map.of(), Optional.of(body), timeout);
 	}
 
-	private void receive(JsonNode reply) {
+	private void receive(JsonNode reply, long sentNanos) {
 		PeerMessages.text(reply, "holder").ifPresent((holder) -> this.hint = Optional.of(ServerCodec.address(holder)));
 		for (JsonNode usage : reply.path("usage")) {
 			this.forwarder.observePeer(PeerMessages.decodeUsage(usage));
 		}
+		PeerMessages.text(reply, "configuration")
+			.ifPresent((text) -> this.configuration.offer(Base64.getDecoder().decode(text), "peer"));
 		if (reply.path("isHolder").asBoolean()) {
 			retire(PeerMessages.decodeModels(reply.path("retiring")));
 			arrive(PeerMessages.decodeArriving(reply.path("arriving")));
+			PeerMessages.text(reply, "lease").flatMap(LeaseRecord::parse).ifPresent(this.leadership::hear);
+			if (reply.path("store").isObject()) {
+				this.follower.receive(reply.path("store"), sentNanos);
+			}
 		}
-		PeerMessages.text(reply, "configuration")
-			.ifPresent((text) -> this.configuration.offer(Base64.getDecoder().decode(text), "peer"));
 	}
 
 	private void arrive(Map<ModelId, Duration> models) {
@@ -301,6 +312,8 @@
 			});
 			reply.set("retiring", PeerMessages.encodeModels(retiring()));
 			reply.set("arriving", PeerMessages.encodeArriving(this.placement.arriving()));
+			this.leadership.written().ifPresent((record) -> reply.put("lease", record.toText()));
+			this.follower.encode(body.path("servers").asLong()).ifPresent((store) -> reply.set("store", store));
 		}
 		else {
 			this.leadership.holder()
--- a/edge/src/test/java/org/celeryhill/edge/ControlFixture.java
+++ b/edge/src/test/java/org/celeryhill/edge/ControlFixture.java
@@ -39,7 +39,8 @@
 		ConditionalWriter writer = ConditionalWriter.create(
 				StoreTable.create(StoreClient.create(this.loop.calls(), this.store.address())),
 				() -> AttemptId.of(address + "-" + count.incrementAndGet()), RetryPolicy.immediate());
-		LeaseStore leases = LeaseStore.create(writer, SystemTimerService.create(), HostId.of(address), TURN);
+		LeaseStore leases = LeaseStore.createForSoleProcess(writer, SystemTimerService.create(), HostId.of(address),
+				TURN);
 		return new Leadership(this.loop.loop(), leases, new EdgeMetrics(), TURN, TURN);
 	}
 
--- a/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
@@ -90,4 +90,51 @@
 		assertThat(System.nanoTime() - stopped).isGreaterThan(ControlFixture.TURN.toNanos());
 	}
 
+	// Guards against seconds without commands after a restart of the holder, while nobody
+	// else can have sent any.
+	@Test
+	void takesBackTheLeaseOfItsEarlierLife() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		long since = System.nanoTime();
+		this.fixture.until("holder for longer than its turn", one::tick,
+				() -> System.nanoTime() - since > 5 * ControlFixture.TURN.toNanos() && one.commandLease().isPresent());
+		Leadership next = this.fixture.leadership("10.0.0.1:80");
+		long restarted = System.nanoTime();
+		this.fixture.until("holder again", next::tick, () -> next.commandLease().isPresent());
+		assertThat(System.nanoTime() - restarted).isLessThan(ControlFixture.TURN.toNanos() / 2);
+	}
+
+	// Guards against commands right after those of another host, when the host that
+	// waited
+	// for its turn is started anew.
+	@Test
+	void waitsForItsTurnAlsoAfterARestart() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		this.fixture.until("first holder", one::tick, () -> one.commandLease().isPresent());
+		long lastCommand = System.nanoTime();
+		Leadership two = this.fixture.leadership("10.0.0.2:80");
+		this.fixture.until("second holder", two::tick, two::isHolder);
+		Leadership next = this.fixture.leadership("10.0.0.2:80");
+		this.fixture.until("second holder after its restart", next::tick, () -> next.commandLease().isPresent());
+		assertThat(System.nanoTime() - lastCommand).isGreaterThan(2 * ControlFixture.TURN.toNanos() - 100_000_000L);
+	}
+
+	// Guards against a host that asks the store for the lease while it hears from the
+	// holder, and against one that takes over later than the holder's silence allows.
+	@Test
+	void leavesTheStoreAloneWhileTheHolderIsHeard() throws Exception {
+		Leadership one = this.fixture.leadership("10.0.0.1:80");
+		Leadership two = this.fixture.leadership("10.0.0.2:80");
+		this.fixture.until("first holder", one::tick, () -> one.commandLease().isPresent());
+		this.fixture.run(() -> two.hear(one.written().orElseThrow()));
+		int calls = this.fixture.store.calls();
+		long end = System.nanoTime() + 600_000_000L;
+		while (System.nanoTime() < end) {
+			this.fixture.run(two::tick);
+			Thread.sleep(20);
+		}
+		assertThat(this.fixture.store.calls()).isEqualTo(calls);
+		this.fixture.until("second holder", two::tick, two::isHolder);
+	}
+
 }
--- /dev/null
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -0,0 +1,123 @@
+package org.celeryhill.edge;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.DataCentre;
+import org.celeryhill.base.HostId;
+import org.celeryhill.forward.BackendClient;
+import org.celeryhill.forward.Forwarder;
+import org.celeryhill.platform.PlatformHeaders;
+import org.celeryhill.platform.PlatformTables;
+import org.celeryhill.platform.ServiceStandin;
+import org.celeryhill.platform.StoreClient;
+import org.celeryhill.traffic.DefaultTrafficController;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of hosts that follow the store through the holder of the lease.
+ */
+@Timeout(30)
+class StoreFollowerTests {
+
+	private ControlFixture fixture;
+
+	private ServiceStandin service;
+
+	private Host holder;
+
+	private Host other;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new ControlFixture();
+		this.service = new ServiceStandin("i-1");
+		this.fixture.store.put(PlatformTables.BACKEND_SERVERS, "i-1", this.service.entry("s", "ready"));
+		this.holder = new Host();
+		this.other = new Host();
+	}
+
+	@AfterEach
+	void stop() {
+		this.service.close();
+		this.fixture.close();
+	}
+
+	private void beat() {
+		long sent = System.nanoTime();
+		this.holder.follower.encode(this.other.follower.serverVersion())
+			.ifPresent((node) -> this.other.follower.receive((ObjectNode) node.deepCopy(), sent));
+	}
+
+	private void tick() {
+		this.holder.follower.tick(true);
+		this.other.follower.tick(false);
+	}
+
+	// Guards against calls to the store that grow with the number of hosts, and against
+	// hosts that do not see what the holder sees.
+	@Test
+	void leavesTheStoreToTheHolder() throws Exception {
+		this.fixture.until("holder knows the engine", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-1"));
+		this.fixture.until("other host knows it too", this::beat, () -> this.other.knows("i-1"));
+		this.fixture.store.put(PlatformTables.BACKEND_SERVERS, "i-2", this.service.entry("s", "ready"));
+		int calls = this.fixture.store.calls();
+		this.fixture.until("other host learns of a change", () -> {
+			this.holder.follower.tick(true);
+			beat();
+			this.other.follower.tick(false);
+		}, () -> this.other.knows("i-2"));
+		this.fixture.store.remove(PlatformTables.BACKEND_SERVERS, "i-1");
+		this.fixture.until("other host learns of a removal", () -> {
+			tick();
+			beat();
+		}, () -> !this.other.knows("i-1"));
+		assertThat(this.fixture.store.calls() - calls).isLessThan(12);
+	}
+
+	// Guards against a host that misses changes because the holder is gone or cut off
+	// from
+	// the store.
+	@Test
+	void asksTheStoreWhenTheHolderIsSilent() throws Exception {
+		this.fixture.until("holder knows the engine", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-1"));
+		this.fixture.until("other host knows it too", this::beat, () -> this.other.knows("i-1"));
+		this.fixture.store.put(PlatformTables.BACKEND_SERVERS, "i-2", this.service.entry("s", "ready"));
+		long since = System.nanoTime();
+		this.fixture.until("other host asks by itself", () -> this.other.follower.tick(false),
+				() -> this.other.knows("i-2"));
+		assertThat(System.nanoTime() - since).isLessThan(2_000_000_000L);
+	}
+
+	private final class Host {
+
+		private final Forwarder forwarder;
+
+		private final StoreFollower follower;
+
+		Host() {
+			ControlFixture fixture = StoreFollowerTests.this.fixture;
+			this.forwarder = Forwarder.create(fixture.loop.loop(), BackendClient.create(fixture.loop.loop()),
+					new PlatformHeaders(), DefaultTrafficController.create(HostId.of("h"), DataCentre.of("d"), "life",
+							1, EdgeDaemon.tunables(0.2)),
+					new EdgeMetrics());
+			this.follower = StoreFollower.create(StoreClient.create(fixture.loop.calls(), fixture.store.address()),
+					fixture.loop.loop(), new ConfigurationHolder(this.forwarder), this.forwarder.directory());
+		}
+
+		private boolean knows(String server) {
+			return this.forwarder.directory()
+				.entries()
+				.stream()
+				.anyMatch((entry) -> entry.id().equals(BackendServerId.of(server)));
+		}
+
+	}
+
+}
--- a/state/src/main/java/org/celeryhill/state/LeaseRecord.java
+++ b/state/src/main/java/org/celeryhill/state/LeaseRecord.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.FencingToken;
@@ -73,4 +74,21 @@
 		return Duration.ofMillis(this.durationMillis);
 	}
 
+	/**
+	 * Returns the text that {@link #parse} reads.
+	 * @return the text, never null
+	 */
+	public String toText() {
+		return StateJson.write(this);
+	}
+
+	/**
+	 * Parses the text of a record.
+	 * @param text the text, not null
+	 * @return the record, empty if the text is malformed
+	 */
+	public static Optional<LeaseRecord> parse(String text) {
+		return StateJson.read(text, LeaseRecord.class);
+	}
+
 }
--- a/state/src/main/java/org/celeryhill/state/LeaseStore.java
+++ b/state/src/main/java/org/celeryhill/state/LeaseStore.java
@@ -47,15 +47,20 @@
 	/** Duration of granted leases. */
 	private final Duration duration;
 
+	/** Whether at most one process runs on this host at a time. */
+	private final boolean isSoleProcess;
+
 	/** What this process has seen of other holders. */
 	private final Map<LeaseName, LeaseObservation> observations = new ConcurrentHashMap<>();
 
-	private LeaseStore(ConditionalWriter writer, TimerService timer, HostId host, Duration duration) {
+	private LeaseStore(ConditionalWriter writer, TimerService timer, HostId host, Duration duration,
+			boolean isSoleProcess) {
 		this.writer = Objects.requireNonNull(writer, "writer");
 		this.timer = Objects.requireNonNull(timer, "timer");
 		this.host = Objects.requireNonNull(host, "host");
 		this.duration = Objects.requireNonNull(duration, "duration");
 		this.session = writer.nextAttempt();
+		this.isSoleProcess = isSoleProcess;
 	}
 
 	/**
@@ -68,7 +73,23 @@
 	 * @return the store, never null
 	 */
 	public static LeaseStore create(ConditionalWriter writer, TimerService timer, HostId host, Duration duration) {
-		return new LeaseStore(writer, timer, host, duration);
+		return new LeaseStore(writer, timer, host, duration, false);
+	}
+
+	/**
+	 * Returns the store of one process on a host that never runs two of them at a time. A
+	 * lease of an earlier process of the host is acquired at once, as that process has
+	 * ended.
+	 * @param writer the writer of the rows, not null
+	 * @param timer the time, not null
+	 * @param host the host of this process, not null
+	 * @param duration the duration of leases that are granted to this process, not null,
+	 * at least a millisecond
+	 * @return the store, never null
+	 */
+	public static LeaseStore createForSoleProcess(ConditionalWriter writer, TimerService timer, HostId host,
+			Duration duration) {
+		return new LeaseStore(writer, timer, host, duration, true);
 	}
 
 	/**
@@ -96,8 +117,8 @@
 				return other.get();
 			}
 			Attempt attempt = write(name, row, next(current));
-			if (attempt.lease().isPresent()) {
-				return new Granted(attempt.lease().get());
+			if (attempt.granted().isPresent()) {
+				return attempt.granted().get();
 			}
 			if (attempt.failure().isPresent()) {
 				return attempt.failure().get().after(mayBeWritten);
@@ -126,8 +147,8 @@
 				return new Lost(lease);
 			}
 			Attempt attempt = write(lease.name(), row, current.get().renewed());
-			if (attempt.lease().isPresent()) {
-				return new Granted(attempt.lease().get());
+			if (attempt.granted().isPresent()) {
+				return attempt.granted().get();
 			}
 			if (attempt.failure().isPresent()) {
 				return attempt.failure().get().after(mayBeWritten);
@@ -156,7 +177,7 @@
 				return new Released(lease.name());
 			}
 			Attempt attempt = write(lease.name(), row, current.get().withReleased());
-			if (attempt.lease().isPresent()) {
+			if (attempt.granted().isPresent()) {
 				return new Released(lease.name());
 			}
 			if (attempt.failure().isPresent()) {
@@ -167,8 +188,19 @@
 		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name()).after(mayBeWritten);
 	}
 
+	/**
+	 * Takes what the holder itself says of a lease, as if it had been read from the
+	 * store. An observer that hears from the holder so knows when the lease runs out
+	 * without asking the store.
+	 * @param name the lease, not null
+	 * @param record the row as the holder wrote it last, not null
+	 */
+	public void hear(LeaseName name, LeaseRecord record) {
+		observe(name, record);
+	}
+
 	private Optional<HeldBy> observe(LeaseName name, LeaseRecord record) {
-		if (record.isHeldBy(this.session)) {
+		if (record.isHeldBy(this.session) || (this.isSoleProcess && record.holder().equals(this.host))) {
 			return Optional.empty();
 		}
 		long now = this.timer.nanoTime();
@@ -198,7 +230,8 @@
 		ConditionalWriter.Outcome outcome = this.writer.write(write);
 		if (outcome instanceof ConditionalWriter.Applied) {
 			Lease lease = new Lease(name, record.holder(), record.session(), record.token(), record.duration(), start);
-			return new Attempt(Optional.of(lease), Optional.empty(), false);
+			Optional<LeaseRecord> previous = row.flatMap((found) -> StateJson.read(found.value(), LeaseRecord.class));
+			return new Attempt(Optional.of(new Granted(lease, record, previous)), Optional.empty(), false);
 		}
 		if (outcome instanceof ConditionalWriter.NotApplied failed) {
 			return new Attempt(Optional.empty(), Optional.of(StoreUnavailable.unchanged(failed.reason())), false);
@@ -241,8 +274,11 @@
 	 * This process holds the lease.
 	 *
 	 * @param lease the lease, not null
+	 * @param written the row as it was written, not null
+	 * @param previous the row before, empty if there was none
 	 */
-	public record Granted(Lease lease) implements AcquireResult, RenewResult {
+	public record Granted(Lease lease, LeaseRecord written,
+			Optional<LeaseRecord> previous) implements AcquireResult, RenewResult {
 
 	}
 
@@ -276,7 +312,7 @@
 	}
 
 	/** Result of one write: a lease, a failure, or neither if the row has changed. */
-	private record Attempt(Optional<Lease> lease, Optional<StoreUnavailable> failure, boolean mayBeWritten) {
+	private record Attempt(Optional<Granted> granted, Optional<StoreUnavailable> failure, boolean mayBeWritten) {
 
 	}
 
