Keep the lease through another host when the store does not answer its holder

Change: the holder's calls to the store go through a peer after 0.3 s without an answer, or at once when it is turned away, and then for 10 s; after a peer could not help either, only the direct way is tried for 1 s. Writes are conditional and name their attempt, so a call that reaches the store twice does no harm. Other hosts never do this.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -133,7 +133,8 @@
 		this.ready = FrontServer.create(this.loop, readiness);
 		this.operations = FrontServer.create(this.loop, pages);
 		JsonCalls calls = JsonCalls.create(this.loop, this.client);
-		this.store = StoreClient.create(calls, settings.storeAddress());
+		StoreRelay relay = new StoreRelay(this.loop, calls, settings.storeAddress());
+		this.store = StoreClient.create(relay, settings.storeAddress());
 		this.configuration = new ConfigurationHolder(this.forwarder);
 		DemandMeter demand = new DemandMeter();
 		this.forwarder.setDemandListener(demand);
@@ -143,7 +144,8 @@
 				this.metrics, settings, this::totalDemand);
 		this.follower = StoreFollower.create(this.store, this.loop, this.configuration, this.forwarder.directory());
 		this.peers = new PeerService(this.loop, calls, this.forwarder, this.leadership, this.placement, demand,
-				this.configuration, this.follower, settings);
+				this.configuration, this.follower, relay, settings);
+		relay.setHosts(this.peers::storeCaller);
 		this.forwarder.setAdapterLoader(this.peers);
 		this.forwarder.setPlacementForecast(this.peers);
 		this.peerServer = FrontServer.create(this.loop, this.peers);
--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -73,6 +73,8 @@
 
 	private long lastToken;
 
+	private long lostNanos;
+
 	private boolean isCalling;
 
 	private boolean isStopping;
@@ -207,6 +209,7 @@
 
 	private void lost() {
 		this.lease = Optional.empty();
+		this.lostNanos = System.nanoTime();
 		this.metrics.leaseHeld(false);
 	}
 
@@ -229,6 +232,15 @@
 		return this.lease.isPresent();
 	}
 
+	/**
+	 * Returns whether this host holds the lease or lost it within its duration.
+	 * @return whether it does or did
+	 */
+	boolean wasHolderLately() {
+		return this.lease.isPresent()
+				|| (this.lastToken > 0 && System.nanoTime() - this.lostNanos < this.duration.toNanos());
+	}
+
 	/**
 	 * Returns where the holder listens.
 	 * @return the address, empty if this host holds the lease or no holder is known
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -83,6 +83,8 @@
 
 	private final StoreFollower follower;
 
+	private final StoreRelay relay;
+
 	private final String address;
 
 	private final List<InetSocketAddress> seeds;
@@ -99,10 +101,13 @@
 
 	private int nextSeed;
 
+	private int nextCaller;
+
 	private boolean isHolderLost;
 
 	PeerService(EventLoop loop, JsonCalls calls, Forwarder forwarder, Leadership leadership, PlacementLoop placement,
-			DemandMeter demand, ConfigurationHolder configuration, StoreFollower follower, EdgeSettings settings) {
+			DemandMeter demand, ConfigurationHolder configuration, StoreFollower follower, StoreRelay relay,
+			EdgeSettings settings) {
 		this.loop = loop;
 		this.calls = calls;
 		this.forwarder = forwarder;
@@ -111,6 +116,7 @@
 		this.demand = demand;
 		this.configuration = configuration;
 		this.follower = follower;
+		this.relay = relay;
 		this.address = settings.peer;
 		this.seeds = settings.seedAddresses();
 	}
@@ -221,6 +227,17 @@
 		return total;
 	}
 
+	// Returns a host that can call the store for this one, while this one holds the lease
+	// or did so until now; another one each time.
+	Optional<InetSocketAddress> storeCaller() {
+		removeSilent();
+		if (!this.leadership.wasHolderLately() || this.members.isEmpty()) {
+			return Optional.empty();
+		}
+		List<String> known = List.copyOf(this.members.keySet());
+		return Optional.of(ServerCodec.address(known.get(this.nextCaller++ % known.size())));
+	}
+
 	private void removeSilent() {
 		long now = System.nanoTime();
 		this.members.values().removeIf((member) -> now - member.seenNanos() > MEMBER_NANOS);
@@ -269,6 +286,11 @@
 			else if (request.target().equals(ADAPTER)) {
 				answerAdapter(body, channel);
 			}
+			else if (request.target().equals(StoreRelay.PATH)) {
+				this.relay.answer(body,
+						(reply) -> reply.ifPresentOrElse((found) -> answer(channel, found), () -> channel
+							.answer(HttpResponseStatus.BAD_GATEWAY, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER)));
+			}
 			else {
 				channel.answer(HttpResponseStatus.NOT_FOUND, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
 			}
--- /dev/null
+++ b/edge/src/test/java/org/celeryhill/edge/StoreRelayTests.java
@@ -0,0 +1,134 @@
+package org.celeryhill.edge;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.celeryhill.forward.FrontServer;
+import org.celeryhill.forward.IncomingRequest;
+import org.celeryhill.forward.IngressLimits;
+import org.celeryhill.forward.RequestHandler;
+import org.celeryhill.forward.ResponseChannel;
+import org.celeryhill.platform.JsonCalls;
+import org.celeryhill.platform.StoreClient;
+import org.celeryhill.platform.StoreStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests of calls to the store through another host.
+ */
+@Timeout(30)
+class StoreRelayTests {
+
+	private ControlFixture fixture;
+
+	private StoreStandin cut;
+
+	private InetSocketAddress host;
+
+	private StoreRelay relay;
+
+	private StoreClient client;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new ControlFixture();
+		this.cut = new StoreStandin();
+		FrontServer server = FrontServer.create(this.fixture.loop.loop(), new Host());
+		this.host = (InetSocketAddress) server.listen(new InetSocketAddress("127.0.0.1", 0))
+			.sync()
+			.channel()
+			.localAddress();
+		this.relay = new StoreRelay(this.fixture.loop.loop(), this.fixture.loop.calls(), this.cut.address());
+		this.client = StoreClient.create(this.relay, this.cut.address());
+		this.fixture.store.put("servers", "a", "1");
+	}
+
+	@AfterEach
+	void stop() {
+		this.cut.close();
+		this.fixture.close();
+	}
+
+	private int rows() throws Exception {
+		return this.client.readAll("servers").get(5, TimeUnit.SECONDS).rows().size();
+	}
+
+	// Guards against a holder that loses the lease because the store does not answer it.
+	@Test
+	void goesThroughAnotherHostWhenTheStoreIsSilent() throws Exception {
+		this.relay.setHosts(() -> Optional.of(this.host));
+		this.cut.fail(StoreStandin.Fault.SILENT);
+		long since = System.nanoTime();
+		assertThat(rows()).isEqualTo(1);
+		assertThat(System.nanoTime() - since).isLessThan(600_000_000L);
+		since = System.nanoTime();
+		assertThat(rows()).isEqualTo(1);
+		assertThat(System.nanoTime() - since).as("goes the other way at once").isLessThan(200_000_000L);
+	}
+
+	// Guards against a host that is turned away by the store and does not ask another
+	// one.
+	@Test
+	void goesThroughAnotherHostWhenTurnedAway() throws Exception {
+		this.relay.setHosts(() -> Optional.of(this.host));
+		this.cut.fail(StoreStandin.Fault.BUSY);
+		assertThat(rows()).isEqualTo(1);
+	}
+
+	// Guards against calls of all hosts that go through others while the store is down.
+	@Test
+	void failsWithoutAnotherHost() {
+		this.cut.fail(StoreStandin.Fault.BUSY);
+		assertThatThrownBy(this::rows).hasMessageContaining("503");
+	}
+
+	// Guards against a feed that counts the time it asked the store to wait as silence.
+	@Test
+	void letsTheStoreWait() throws Exception {
+		this.relay.setHosts(() -> Optional.of(this.host));
+		int calls = this.fixture.store.calls();
+		this.client.changes("servers", 100, Duration.ofMillis(700)).get(5, TimeUnit.SECONDS);
+		assertThat(this.fixture.store.calls()).isEqualTo(calls);
+	}
+
+	private final class Host implements RequestHandler {
+
+		@Override
+		public Running handle(IncomingRequest request, ResponseChannel channel) {
+			ControlFixture fixture = StoreRelayTests.this.fixture;
+			byte[] bytes = ByteBufUtil.getBytes(request.body());
+			request.body().release();
+			try {
+				new StoreRelay(fixture.loop.loop(), fixture.loop.calls(), fixture.store.address()).answer(
+						JsonCalls.MAPPER.readTree(bytes),
+						(reply) -> channel.answer(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE,
+								Unpooled.copiedBuffer(reply.orElseThrow().toString(), StandardCharsets.UTF_8)));
+			}
+			catch (IOException ex) {
+				throw new IllegalStateException(ex);
+			}
+			return Running.NONE;
+		}
+
+		@Override
+		public IngressLimits limits() {
+			return IngressLimits.DEFAULTS;
+		}
+
+	}
+
+}
