Explain a request from the logs of edge daemons

Cause: from a request's id to its cause took several greps over the logs of all hosts and knowledge of the events.

--- a/cli/src/main/java/org/celeryhill/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/celeryhill/cli/ExplainCommand.java
@@ -1,12 +1,18 @@
 package org.celeryhill.cli;
 
+import java.io.IOException;
 import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.celeryhill.port.Row;
 import org.celeryhill.port.TableService;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -14,8 +20,9 @@
  * Explains why a model stands where it stands, or what was decided about a request.
  */
 @Command(name = "explain", mixinStandardHelpOptions = true,
-		description = "Explains a placement (--model) or the decisions about a request (--request with --admin-url).")
-final class ExplainCommand extends AbstractStoreCommand {
+		description = "Explains a placement (--model) or the decisions about a request (--request, with --log for edge "
+				+ "daemons or with --admin-url for entry daemons).")
+final class ExplainCommand extends AbstractCommand {
 
 	/** Table with the reasons of the planners. */
 	private static final String TABLE = "explain";
@@ -32,20 +39,66 @@
 	@Option(names = "--admin-url", description = "Admin port of the entry daemon that took the request.")
 	private URI admin;
 
+	/** Logs of edge daemons. */
+	@Option(names = "--log", arity = "1..*",
+			description = "Logs of edge daemons, one file a host or one for all. The id is the caller's X-Attempt-Id.")
+	private List<Path> logs = List.of();
+
+	/** Services of the platform, for {@code --model}. */
+	@ArgGroup(exclusive = false, heading = "Services, for --model:%n")
+	private StoreConnection stores;
+
 	@Override
-	ExitCode runWithStores() {
-		if (this.model != null) {
-			return explainModel();
+	ExitCode run() {
+		if (this.request != null && !this.logs.isEmpty()) {
+			return explainFromLogs();
 		}
 		if (this.request != null && this.admin != null) {
 			return explainRequest();
 		}
-		fail("give --model MODEL, or --request ID with --admin-url URL");
+		if (this.model != null && this.stores != null) {
+			try {
+				return explainModel();
+			}
+			finally {
+				this.stores.close();
+			}
+		}
+		fail("give --request ID with --log FILE or --admin-url URL, or --model MODEL with --table-url and --object-url");
 		return ExitCode.INVALID;
 	}
 
+	private ExitCode explainFromLogs() {
+		List<LogLine> lines = new ArrayList<>();
+		for (Path log : this.logs) {
+			try (Stream<String> text = Files.lines(log)) {
+				text.map(LogLine::parse).flatMap(Optional::stream).forEach(lines::add);
+			}
+			catch (IOException ex) {
+				fail("cannot read " + log + ": " + ex.getMessage());
+				return ExitCode.INVALID;
+			}
+		}
+		RequestHistory history = RequestHistory.of(lines, this.request);
+		if (history.isEmpty()) {
+			fail("no line names request '" + this.request + "'; the log of the host that took it may be missing");
+			return ExitCode.REFUSED;
+		}
+		out().println(history.summary());
+		out().println("Its lines:");
+		history.own().forEach(this::printLine);
+		out().println("Around it:");
+		history.around().forEach(this::printLine);
+		out().flush();
+		return ExitCode.OK;
+	}
+
+	private void printLine(LogLine line) {
+		out().println("  " + line.time() + " " + line.source() + " " + line.event() + " " + line.details());
+	}
+
 	private ExitCode explainModel() {
-		TableService.ScanResult result = stores().table().scan(TABLE, "");
+		TableService.ScanResult result = this.stores.table().scan(TABLE, "");
 		if (result instanceof TableService.ReadFailed failed) {
 			fail("table service unavailable: " + failed.reason());
 			return ExitCode.UNAVAILABLE;
