Close the connection behind a stream that ends after the idle ones were closed

Idle connections are closed 2.8 s after SIGTERM, but an answer that had begun before SIGTERM does not announce the close, and when it ended later its connection stayed open.

Change: once the idle connections are closed, a connection ends with the answer under way.

--- a/forward/src/main/java/org/celeryhill/forward/FrontConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/FrontConnection.java
@@ -233,6 +233,8 @@
 		this.isBusy = false;
 		dropBody();
 		this.idleSince = System.nanoTime();
+		// The head of an answer that began before the stop did not announce it.
+		this.isClosing |= this.server.isIdleClosed();
 		if (this.isClosing) {
 			written.addListener(ChannelFutureListener.CLOSE);
 			releaseWaiting();
--- a/forward/src/main/java/org/celeryhill/forward/FrontServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/FrontServer.java
@@ -48,6 +48,8 @@
 
 	private boolean isStopping;
 
+	private boolean isIdleClosed;
+
 	private long bufferedBytes;
 
 	private FrontServer(EventLoop loop, RequestHandler handler) {
@@ -126,11 +128,16 @@
 		this.isStopping = true;
 	}
 
+	boolean isIdleClosed() {
+		return this.isIdleClosed;
+	}
+
 	/**
-	 * Stops to listen and closes the connections that have no request. Running requests
-	 * go on.
+	 * Stops to listen and closes the connections that have no request, the others as soon
+	 * as their request has ended. Running requests go on.
 	 */
 	public void closeIdle() {
+		this.isIdleClosed = true;
 		if (this.listener.isOpen()) {
 			this.listener.close();
 		}
--- a/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
@@ -180,4 +180,24 @@
 		}
 	}
 
+	// Guards against a request that is taken seconds after SIGTERM on the connection of a
+	// stream that began before and ends then.
+	@Test
+	void takesNoRequestBehindAStreamOnceIdleConnectionsAreClosed() throws Exception {
+		try (RawEngine engine = new RawEngine((request, connection) -> {
+			connection.startStream(request);
+			connection.chunk(event(1));
+			pause(300);
+			connection.chunk(event(2));
+			connection.endStream();
+		}); ForwardFixture.Caller caller = this.fixture.caller()) {
+			this.fixture.add("e1", ForwardFixture.ENGINES, engine);
+			caller.send(ForwardFixture.generate("/stream/x", "r1").replace("Connection: close\r\n", ""));
+			assertThat(caller.readUntil("data: t1")).startsWith("HTTP/1.1 200").doesNotContainIgnoringCase("close");
+			this.fixture.startStopping();
+			this.fixture.closeIdle();
+			assertThat(caller.readAll()).contains("data: t2").endsWith("0\r\n\r\n");
+		}
+	}
+
 }
