--- a/system-test/src/test/java/org/celeryhill/systemtest/ConfigurationSpreadTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/ConfigurationSpreadTests.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -19,7 +20,7 @@
 	/** Stated bound for an accepted configuration to be in effect everywhere. */
 	private static final Duration BOUND = Duration.ofSeconds(9);
 
-	@TempDir
+	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
 	private Path directory;
 
 	private Path changed(int percent) throws IOException {
--- a/system-test/src/test/java/org/celeryhill/systemtest/DaemonFailureTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/DaemonFailureTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -19,7 +20,7 @@
 	/** Outage of the table service, in seconds; the stated target is 120. */
 	private static final int OUTAGE_SECONDS = Integer.getInteger("celeryhill.outage.seconds", 15);
 
-	@TempDir
+	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
 	private Path directory;
 
 	/** Guards against answers cut off and bookings run twice when an entry host dies. */
--- a/system-test/src/test/java/org/celeryhill/systemtest/PlannedStopTests.java
+++ b/system-test/src/test/java/org/celeryhill/systemtest/PlannedStopTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -16,7 +17,7 @@
 	/** Stated bound for the last new work of a leaving backend server. */
 	private static final Duration BOUND = Duration.ofSeconds(5);
 
-	@TempDir
+	@TempDir(cleanup = CleanupMode.ON_SUCCESS)
 	private Path directory;
 
 	/** Guards against a stop that cuts streams off, or that goes on sending new work. */
