Share signals, addresses, lease turns and the store's name; plan only at the holder

Cause: a read of the whole change. The three daemons each handled signals in the same lines; an address was formatted in two places and the life of the store's connections named in four; acquire, renew and release repeated one loop; the variable of the platform's settings file stood outside platform/; hosts without the lease kept state of engines that is dropped when they get it; the tokens of an event were looked up for each event of a stream.

Change: ProcessSignals in http; ServerCodec.text, StoreClient.LIFE and SettingsFile in platform; one LeaseStore.change with a rule; the clocks are read in PauseDetector; engine state is kept at the holder only; tokens of an event once a stream.

Behaviour, bounds and tests stay.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -202,7 +202,7 @@
 
 	private void housekeep() {
 		Set<BackendClient.PoolKey> used = new HashSet<>();
-		used.add(new BackendClient.PoolKey(this.settings.storeAddress(), "store"));
+		used.add(new BackendClient.PoolKey(this.settings.storeAddress(), StoreClient.LIFE));
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
 			used.add(new BackendClient.PoolKey(entry.address(), entry.life()));
 		}
--- a/edge/src/main/java/org/celeryhill/edge/EdgeMain.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeMain.java
@@ -1,7 +1,5 @@
 package org.celeryhill.edge;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -13,6 +11,8 @@
 import org.celeryhill.base.Finding;
 import org.celeryhill.http.EnvironmentDefaults;
 import org.celeryhill.http.LogSetup;
+import org.celeryhill.http.ProcessSignals;
+import org.celeryhill.platform.SettingsFile;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -24,9 +24,6 @@
 		description = "Forwards requests to backend servers and places models on engines.")
 public final class EdgeMain implements Callable<Integer> {
 
-	/** Names a file with one flag on each line; its flags come before those given. */
-	private static final String SETTINGS_VARIABLE = "CELERYHILL_SETTINGS";
-
 	private static final EventLog LOG = EventLog.of(EdgeMain.class);
 
 	private static final int INVALID_SETTINGS = 2;
@@ -49,12 +46,10 @@
 		return new CommandLine(new EdgeMain()).setDefaultValueProvider(new EnvironmentDefaults());
 	}
 
+	// The file holds one flag on each line; its flags come before those given.
 	private static String[] withSettingsFile(String[] arguments) {
-		String file = System.getenv(SETTINGS_VARIABLE);
-		if (file == null || !Files.isReadable(Path.of(file))) {
-			return arguments;
-		}
-		List<String> all = new ArrayList<>(List.of("@" + file));
+		List<String> all = new ArrayList<>();
+		SettingsFile.find().ifPresent((file) -> all.add("@" + file));
 		all.addAll(Arrays.asList(arguments));
 		return all.toArray(new String[0]);
 	}
@@ -69,9 +64,9 @@
 		}
 		CountDownLatch stopped = new CountDownLatch(1);
 		EdgeDaemon daemon = EdgeDaemon.create(this.settings);
-		onSignal("TERM", () -> daemon.stop(stopped::countDown));
-		onSignal("INT", () -> daemon.stop(stopped::countDown));
-		onSignal("HUP", this::reload);
+		ProcessSignals.handle("TERM", () -> daemon.stop(stopped::countDown));
+		ProcessSignals.handle("INT", () -> daemon.stop(stopped::countDown));
+		ProcessSignals.handle("HUP", this::reload);
 		daemon.start();
 		stopped.await();
 		LogSetup.flush();
@@ -90,10 +85,4 @@
 		}
 	}
 
-	// A shutdown hook would run while the log is being closed and could not set the exit
-	// status to 0, so the signals are handled directly.
-	private static void onSignal(String name, Runnable action) {
-		sun.misc.Signal.handle(new sun.misc.Signal(name), (signal) -> action.run());
-	}
-
 }
--- a/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
@@ -73,7 +73,7 @@
 
 	@Override
 	public void regained() {
-		this.regainedNanos = System.nanoTime();
+		regained(0);
 	}
 
 	// Notes that another host reached the store again some time ago.
--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -57,7 +57,7 @@
 
 	private final Duration turn;
 
-	private final PauseDetector pauses = new PauseDetector(System.nanoTime(), PauseDetector.wallNanos());
+	private final PauseDetector pauses = new PauseDetector();
 
 	private Optional<Lease> lease = Optional.empty();
 
@@ -114,7 +114,7 @@
 	}
 
 	private void look() {
-		if (this.pauses.look(System.nanoTime(), PauseDetector.wallNanos())) {
+		if (this.pauses.look()) {
 			LOG.warn("pause_suspected", "holder", this.lease.isPresent());
 		}
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PauseDetector.java
+++ b/edge/src/main/java/org/celeryhill/edge/PauseDetector.java
@@ -22,16 +22,24 @@
 
 	private boolean hasPaused;
 
+	PauseDetector() {
+		this(System.nanoTime(), wallNanos());
+	}
+
 	PauseDetector(long nanos, long wallNanos) {
 		this.lastNanos = nanos;
 		this.lastWallNanos = wallNanos;
 	}
 
-	// Returns the time of day.
-	static long wallNanos() {
+	private static long wallNanos() {
 		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
 	}
 
+	// Reads the clocks and returns whether there may have been a pause since the last look.
+	boolean look() {
+		return look(System.nanoTime(), wallNanos());
+	}
+
 	/**
 	 * Takes the clocks and returns whether a pause may lie since the last look.
 	 * @param nanos the monotonic time
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -339,7 +339,7 @@
 		}
 		else {
 			this.leadership.holder()
-				.ifPresent((holder) -> reply.put("holder", holder.getHostString() + ":" + holder.getPort()));
+				.ifPresent((holder) -> reply.put("holder", ServerCodec.text(holder)));
 		}
 		if (this.configuration.version() > body.path("version").asLong()) {
 			reply.put("configuration", Base64.getEncoder().encodeToString(this.configuration.document()));
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -96,7 +96,7 @@
 			this.commanders.clear();
 			LOG.info("placement_active", "active", isHolder);
 		}
-		follow();
+		follow(isHolder);
 		if (!isHolder) {
 			return;
 		}
@@ -108,7 +108,8 @@
 		}
 	}
 
-	private void follow() {
+	// Follows restarts on each host, as the next holder has to know of them.
+	private void follow(boolean isHolder) {
 		Optional<RoutingTable> table = this.forwarder.table();
 		Set<BackendServerId> present = new HashSet<>();
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
@@ -118,17 +119,23 @@
 				continue;
 			}
 			present.add(entry.id());
-			follow(entry, profile.get());
+			followLife(entry);
+			if (isHolder) {
+				command(entry, profile.get());
+			}
 		}
 		this.commanders.keySet().retainAll(present);
 	}
 
-	private void follow(ServerEntry entry, EngineProfile profile) {
+	private void followLife(ServerEntry entry) {
 		Long before = this.incarnations.put(entry.id(), entry.incarnation());
 		if (before != null && before != entry.incarnation()) {
 			this.restarts.put(entry.id(), System.nanoTime());
 			this.commanders.remove(entry.id());
 		}
+	}
+
+	private void command(ServerEntry entry, EngineProfile profile) {
 		EngineCommander commander = this.commanders.get(entry.id());
 		if (commander == null) {
 			this.commanders.put(entry.id(), new EngineCommander(this.loop, this.engines, this.leadership, this.metrics,
--- a/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
@@ -34,7 +34,7 @@
 	 */
 	private static final Duration HOLDER_WAIT = Duration.ofMillis(600);
 
-	private final PauseDetector pauses = new PauseDetector(System.nanoTime(), PauseDetector.wallNanos());
+	private final PauseDetector pauses = new PauseDetector();
 
 	private final HostListFollower hosts;
 
@@ -62,7 +62,7 @@
 	// Asks the store, or lets the holder do so.
 	void tick(boolean isHolder) {
 		long now = System.nanoTime();
-		this.pauses.look(now, PauseDetector.wallNanos());
+		this.pauses.look();
 		boolean isRecent = this.isHeard && now - this.heardNanos < MAX_AGE_NANOS
 				&& this.pauses.isAfterPause(this.heardNanos);
 		follow(this.operator, isHolder, isRecent);
@@ -88,7 +88,7 @@
 	// empty if its own knowledge is old.
 	Optional<ObjectNode> encode(long version) {
 		long now = System.nanoTime();
-		this.pauses.look(now, PauseDetector.wallNanos());
+		this.pauses.look();
 		long answered = Math.min(this.operator.answeredNanos() - now, this.servers.answeredNanos() - now) + now;
 		boolean isCertain = this.pauses.isAfterPause(this.operator.askedNanos())
 				&& this.pauses.isAfterPause(this.servers.askedNanos());
--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -88,7 +88,7 @@
 	// Makes a call for another host. The answer is the store's, or none.
 	void answer(JsonNode body, Consumer<Optional<ObjectNode>> done) {
 		Optional<JsonNode> content = Optional.of(body.path("body")).filter(JsonNode::isObject);
-		JsonCalls.Call call = new JsonCalls.Call(this.store, "store", body.path("method").asText(),
+		JsonCalls.Call call = new JsonCalls.Call(this.store, StoreClient.LIFE, body.path("method").asText(),
 				body.path("target").asText(), Map.of(), content, Duration.ofMillis(body.path("timeoutMs").asLong()));
 		this.calls.send(call).whenComplete((reply, failure) -> {
 			LOG.info("store_call_relayed", "target", call.target(), "status",
--- a/entry/src/main/java/org/celeryhill/entry/EntryMain.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryMain.java
@@ -23,6 +23,7 @@
 import org.celeryhill.http.HttpObjectService;
 import org.celeryhill.http.HttpTableService;
 import org.celeryhill.http.LogSetup;
+import org.celeryhill.http.ProcessSignals;
 import org.celeryhill.http.SettingsChecks;
 import org.celeryhill.peer.PeerSettings;
 import org.celeryhill.peer.ThriftPeerNode;
@@ -73,8 +74,8 @@
 		}
 		LogSetup.install(this.settings.isVerbose ? Level.FINE : Level.INFO);
 		CountDownLatch stopSignal = new CountDownLatch(1);
-		onSignal("TERM", stopSignal::countDown);
-		onSignal("INT", stopSignal::countDown);
+		ProcessSignals.handle("TERM", stopSignal::countDown);
+		ProcessSignals.handle("INT", stopSignal::countDown);
 		EntryDaemon daemon = new EntryDaemon(this.settings, ports(this.settings));
 		daemon.start();
 		LOG.info("entry_started", "host", this.settings.hostId, "api", daemon.apiUri(), "admin", daemon.adminUri());
@@ -83,12 +84,6 @@
 		return 0;
 	}
 
-	// A shutdown hook would run while the log is being closed and could not set the exit
-	// status to 0, so the signals are handled directly.
-	private static void onSignal(String name, Runnable action) {
-		sun.misc.Signal.handle(new sun.misc.Signal(name), (signal) -> action.run());
-	}
-
 	/**
 	 * Returns the adapters of a daemon.
 	 * @param settings the settings, checked, not null
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -48,6 +48,8 @@
 
 	private EventSplitter splitter;
 
+	private int tokensPerEvent;
+
 	private boolean isFinished;
 
 	boolean isOrphaned;
@@ -112,6 +114,7 @@
 		boolean isStream = this.call.route.kind() == Route.Kind.STREAM && isSuccess();
 		if (isStream && this.info.isSigned()) {
 			this.splitter = new EventSplitter();
+			this.tokensPerEvent = tokensPerEvent();
 		}
 	}
 
@@ -158,7 +161,7 @@
 		if (event.id().isPresent()) {
 			this.call.lastEventId = event.id();
 		}
-		this.call.forwarder.traffic().progress(this.id, this.call.events * tokensPerEvent(), System.nanoTime());
+		this.call.forwarder.traffic().progress(this.id, this.call.events * this.tokensPerEvent, System.nanoTime());
 		if (!this.call.channel.write(event.bytes())) {
 			this.exchange.setReading(false);
 		}
--- a/planner/src/main/java/org/celeryhill/planner/PlannerMain.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerMain.java
@@ -23,6 +23,7 @@
 import org.celeryhill.http.HttpPlainService;
 import org.celeryhill.http.HttpTableService;
 import org.celeryhill.http.LogSetup;
+import org.celeryhill.http.ProcessSignals;
 import org.celeryhill.http.SettingsChecks;
 import org.celeryhill.peer.PeerSettings;
 import org.celeryhill.peer.ThriftPeerNode;
@@ -65,8 +66,8 @@
 		}
 		LogSetup.install((this.settings.isVerbose) ? Level.FINE : Level.INFO);
 		CountDownLatch stopSignal = new CountDownLatch(1);
-		onSignal("TERM", stopSignal::countDown);
-		onSignal("INT", stopSignal::countDown);
+		ProcessSignals.handle("TERM", stopSignal::countDown);
+		ProcessSignals.handle("INT", stopSignal::countDown);
 		PlannerDaemon daemon = new PlannerDaemon(this.settings, ports());
 		daemon.start();
 		stopSignal.await();
@@ -75,12 +76,6 @@
 		return 0;
 	}
 
-	// A shutdown hook would run while the log is being closed and could not set the exit
-	// status to 0, so the signals are handled directly.
-	private static void onSignal(String name, Runnable action) {
-		sun.misc.Signal.handle(new sun.misc.Signal(name), (signal) -> action.run());
-	}
-
 	// The entry daemon of the host is a process of its own and takes the id of the host.
 	private PeerLink peers(TimerService timer) {
 		PeerSeeds seeds = new PeerSeeds(this.settings.parseSeeds().orElseThrow(),
--- a/state/src/main/java/org/celeryhill/state/LeaseStore.java
+++ b/state/src/main/java/org/celeryhill/state/LeaseStore.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.FencingToken;
@@ -101,31 +102,14 @@
 	 * @return the result
 	 */
 	public AcquireResult acquire(LeaseName name) {
-		boolean mayBeWritten = false;
-		for (int turn = 0; turn < MAX_TURNS; turn++) {
-			TableService.ReadResult result = this.writer.read(key(name));
-			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
-			}
-			Optional<Row> row = row(result);
-			Optional<LeaseRecord> current = row.flatMap((found) -> StateJson.read(found.value(), LeaseRecord.class));
+		return change(name, (row) -> {
+			Optional<LeaseRecord> current = row.flatMap(LeaseStore::parse);
 			if (row.isPresent() && current.isEmpty()) {
-				return StoreUnavailable.unchanged("malformed row of lease " + name);
+				return Proposal.end(StoreUnavailable.unchanged("malformed row of lease " + name));
 			}
 			Optional<HeldBy> other = current.flatMap((record) -> observe(name, record));
-			if (other.isPresent()) {
-				return other.get();
-			}
-			Attempt attempt = write(name, row, next(current));
-			if (attempt.granted().isPresent()) {
-				return attempt.granted().get();
-			}
-			if (attempt.failure().isPresent()) {
-				return attempt.failure().get().after(mayBeWritten);
-			}
-			mayBeWritten |= attempt.mayBeWritten();
-		}
-		return StoreUnavailable.unchanged("other writers interfere with lease " + name).after(mayBeWritten);
+			return other.isPresent() ? Proposal.end(other.get()) : Proposal.write(next(current));
+		}, (granted) -> granted, (failure) -> failure);
 	}
 
 	/**
@@ -135,27 +119,10 @@
 	 * @return the result
 	 */
 	public RenewResult renew(Lease lease) {
-		boolean mayBeWritten = false;
-		for (int turn = 0; turn < MAX_TURNS; turn++) {
-			TableService.ReadResult result = this.writer.read(key(lease.name()));
-			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
-			}
-			Optional<Row> row = row(result);
-			Optional<LeaseRecord> current = held(row, lease);
-			if (current.isEmpty()) {
-				return new Lost(lease);
-			}
-			Attempt attempt = write(lease.name(), row, current.get().renewed());
-			if (attempt.granted().isPresent()) {
-				return attempt.granted().get();
-			}
-			if (attempt.failure().isPresent()) {
-				return attempt.failure().get().after(mayBeWritten);
-			}
-			mayBeWritten |= attempt.mayBeWritten();
-		}
-		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name()).after(mayBeWritten);
+		return change(lease.name(),
+				(row) -> held(row, lease).map((record) -> Proposal.<RenewResult>write(record.renewed()))
+					.orElseGet(() -> Proposal.end(new Lost(lease))),
+				(granted) -> granted, (failure) -> failure);
 	}
 
 	/**
@@ -165,27 +132,39 @@
 	 * @return the result
 	 */
 	public ReleaseResult release(Lease lease) {
+		Released released = new Released(lease.name());
+		return change(lease.name(),
+				(row) -> held(row, lease).map((record) -> Proposal.<ReleaseResult>write(record.withReleased()))
+					.orElseGet(() -> Proposal.end(released)),
+				(granted) -> released, (failure) -> failure);
+	}
+
+	// Reads the row and writes what the rule makes of it, again when another writer comes
+	// between.
+	private <R> R change(LeaseName name, Function<Optional<Row>, Proposal<R>> rule, Function<Granted, R> done,
+			Function<StoreUnavailable, R> failed) {
 		boolean mayBeWritten = false;
 		for (int turn = 0; turn < MAX_TURNS; turn++) {
-			TableService.ReadResult result = this.writer.read(key(lease.name()));
-			if (result instanceof TableService.ReadFailed failed) {
-				return StoreUnavailable.unchanged(failed.reason()).after(mayBeWritten);
+			TableService.ReadResult result = this.writer.read(key(name));
+			if (result instanceof TableService.ReadFailed failure) {
+				return failed.apply(StoreUnavailable.unchanged(failure.reason()).after(mayBeWritten));
 			}
 			Optional<Row> row = row(result);
-			Optional<LeaseRecord> current = held(row, lease);
-			if (current.isEmpty()) {
-				return new Released(lease.name());
+			Proposal<R> proposal = rule.apply(row);
+			if (proposal.end().isPresent()) {
+				return proposal.end().get();
 			}
-			Attempt attempt = write(lease.name(), row, current.get().withReleased());
+			Attempt attempt = write(name, row, proposal.record().orElseThrow());
 			if (attempt.granted().isPresent()) {
-				return new Released(lease.name());
+				return done.apply(attempt.granted().get());
 			}
 			if (attempt.failure().isPresent()) {
-				return attempt.failure().get().after(mayBeWritten);
+				return failed.apply(attempt.failure().get().after(mayBeWritten));
 			}
 			mayBeWritten |= attempt.mayBeWritten();
 		}
-		return StoreUnavailable.unchanged("other writers interfere with lease " + lease.name()).after(mayBeWritten);
+		return failed.apply(
+				StoreUnavailable.unchanged("other writers interfere with lease " + name).after(mayBeWritten));
 	}
 
 	/**
@@ -243,10 +222,14 @@
 	}
 
 	private static Optional<LeaseRecord> held(Optional<Row> row, Lease lease) {
-		return row.flatMap((found) -> StateJson.read(found.value(), LeaseRecord.class))
+		return row.flatMap(LeaseStore::parse)
 			.filter((record) -> record.isHeldBy(lease.session()) && record.token().equals(lease.token()));
 	}
 
+	private static Optional<LeaseRecord> parse(Row row) {
+		return LeaseRecord.parse(row.value());
+	}
+
 	private static Optional<Row> row(TableService.ReadResult result) {
 		return (result instanceof TableService.Found found) ? Optional.of(found.row()) : Optional.empty();
 	}
@@ -311,6 +294,19 @@
 
 	}
 
+	/** What to do with a row: end with a result, or write a record. */
+	private record Proposal<R>(Optional<R> end, Optional<LeaseRecord> record) {
+
+		static <R> Proposal<R> end(R result) {
+			return new Proposal<>(Optional.of(result), Optional.empty());
+		}
+
+		static <R> Proposal<R> write(LeaseRecord record) {
+			return new Proposal<>(Optional.empty(), Optional.of(record));
+		}
+
+	}
+
 	/** Result of one write: a lease, a failure, or neither if the row has changed. */
 	private record Attempt(Optional<Granted> granted, Optional<StoreUnavailable> failure, boolean mayBeWritten) {
 
