Share the metrics of peers and the pieces of tests that were written twice

Cause: a read of the whole change. Entry and planner daemons registered the same two metrics of the exchange with other processes; two tests of streams had one script of an engine, four tests of the edge daemon one configuration.

--- a/edge/src/main/java/org/celeryhill/edge/PauseDetector.java
+++ b/edge/src/main/java/org/celeryhill/edge/PauseDetector.java
@@ -35,7 +35,8 @@
 		return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
 	}
 
-	// Reads the clocks and returns whether there may have been a pause since the last look.
+	// Reads the clocks and returns whether there may have been a pause since the last
+	// look.
 	boolean look() {
 		return look(System.nanoTime(), wallNanos());
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -338,8 +338,7 @@
 			this.follower.encode(body.path("servers").asLong()).ifPresent((store) -> reply.set("store", store));
 		}
 		else {
-			this.leadership.holder()
-				.ifPresent((holder) -> reply.put("holder", ServerCodec.text(holder)));
+			this.leadership.holder().ifPresent((holder) -> reply.put("holder", ServerCodec.text(holder)));
 		}
 		if (this.configuration.version() > body.path("version").asLong()) {
 			reply.put("configuration", Base64.getEncoder().encodeToString(this.configuration.document()));
--- a/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
@@ -85,6 +85,11 @@
 		}
 	}
 
+	private void configure(int version, String prefix) {
+		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
+				ServiceStandin.configuration(version, "s", prefix));
+	}
+
 	private EdgeDaemon start(EdgeSettings settings) throws InterruptedException {
 		EdgeDaemon daemon = EdgeDaemon.create(settings);
 		this.daemons.add(daemon);
@@ -120,17 +125,14 @@
 		EdgeSettings settings = settings("h1");
 		start(settings);
 		assertThat(ready(settings)).startsWith("HTTP/1.1 503");
-		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
-				ServiceStandin.configuration(3, "s", "/p/"));
+		configure(3, "/p/");
 		awaitReady(settings);
 		assertThat(exchange(settings.front, ServiceStandin.request("/p/x", "a1"))).startsWith("HTTP/1.1 200")
 			.contains("s.i-1")
 			.endsWith("ran at i-1");
-		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
-				ServiceStandin.configuration(4, "s", "/q/"));
+		configure(4, "/q/");
 		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION, "broken bytes");
-		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
-				ServiceStandin.configuration(2, "s", "/p/"));
+		configure(2, "/p/");
 		Thread.sleep(400);
 		assertThat(exchange(settings.front, ServiceStandin.request("/p/x", "a2"))).startsWith("HTTP/1.1 404");
 		assertThat(exchange(settings.front, ServiceStandin.request("/q/x", "a3"))).startsWith("HTTP/1.1 200");
@@ -139,8 +141,7 @@
 	// Guards against requests that fail because the store is away.
 	@Test
 	void servesWithoutTheStore() throws Exception {
-		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
-				ServiceStandin.configuration(3, "s", "/p/"));
+		configure(3, "/p/");
 		EdgeSettings settings = settings("h1");
 		start(settings);
 		awaitReady(settings);
@@ -154,8 +155,7 @@
 	// though another host does.
 	@Test
 	void learnsTheConfigurationFromAPeer() throws Exception {
-		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
-				ServiceStandin.configuration(3, "s", "/p/"));
+		configure(3, "/p/");
 		EdgeSettings first = settings("h1");
 		start(first);
 		awaitReady(first);
@@ -167,8 +167,7 @@
 	// Guards against requests that a stop breaks off, and against a stop without end.
 	@Test
 	void finishesRequestsWhenItStops() throws Exception {
-		this.store.put(PlatformTables.OPERATOR, PlatformTables.CONFIGURATION,
-				ServiceStandin.configuration(3, "s", "/p/"));
+		configure(3, "/p/");
 		EdgeSettings settings = settings("h1");
 		EdgeDaemon daemon = start(settings);
 		awaitReady(settings);
--- a/entry/src/main/java/org/celeryhill/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/celeryhill/entry/EntryMetrics.java
@@ -1,11 +1,10 @@
 package org.celeryhill.entry;
 
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celeryhill.peer.PeerMetrics;
 import org.celeryhill.peer.ThriftPeerNode;
 
 /**
@@ -117,20 +116,7 @@
 	 * @param node the node, not null
 	 */
 	void peers(ThriftPeerNode node) {
-		CounterWithCallback.builder()
-			.name("entry_peer_bytes")
-			.help("Bytes of the peer protocol without TCP and IP headers")
-			.labelNames("direction")
-			.callback((callback) -> {
-				callback.call(node.counters().sentBytes(), "sent");
-				callback.call(node.counters().receivedBytes(), "received");
-			})
-			.register(this.registry);
-		GaugeWithCallback.builder()
-			.name("entry_peer_members")
-			.help("Processes that are believed to be alive")
-			.callback((callback) -> callback.call(node.members().size()))
-			.register(this.registry);
+		PeerMetrics.register(this.registry, "entry", node);
 	}
 
 	void revision(long number) {
--- a/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -28,6 +29,14 @@
 		this.fixture.close();
 	}
 
+	private static void twoEvents(RawEngine.Received request, RawEngine.Connection connection) throws IOException {
+		connection.startStream(request);
+		connection.chunk(event(1));
+		pause(300);
+		connection.chunk(event(2));
+		connection.endStream();
+	}
+
 	private static String event(int id) {
 		return "id: " + id + "\ndata: t" + id + "\n\n";
 	}
@@ -37,13 +46,8 @@
 	// the end of the answer.
 	@Test
 	void passesEventsAsTheyArrive() throws Exception {
-		try (RawEngine engine = new RawEngine((request, connection) -> {
-			connection.startStream(request);
-			connection.chunk(event(1));
-			pause(300);
-			connection.chunk(event(2));
-			connection.endStream();
-		}); ForwardFixture.Caller caller = this.fixture.caller()) {
+		try (RawEngine engine = new RawEngine(StreamForwardTests::twoEvents);
+				ForwardFixture.Caller caller = this.fixture.caller()) {
 			this.fixture.add("e1", ForwardFixture.ENGINES, engine);
 			long start = System.nanoTime();
 			caller.send(ForwardFixture.generate("/stream/x", "r1"));
@@ -184,13 +188,8 @@
 	// stream that began before and ends then.
 	@Test
 	void takesNoRequestBehindAStreamOnceIdleConnectionsAreClosed() throws Exception {
-		try (RawEngine engine = new RawEngine((request, connection) -> {
-			connection.startStream(request);
-			connection.chunk(event(1));
-			pause(300);
-			connection.chunk(event(2));
-			connection.endStream();
-		}); ForwardFixture.Caller caller = this.fixture.caller()) {
+		try (RawEngine engine = new RawEngine(StreamForwardTests::twoEvents);
+				ForwardFixture.Caller caller = this.fixture.caller()) {
 			this.fixture.add("e1", ForwardFixture.ENGINES, engine);
 			caller.send(ForwardFixture.generate("/stream/x", "r1").replace("Connection: close\r\n", ""));
 			assertThat(caller.readUntil("data: t1")).startsWith("HTTP/1.1 200").doesNotContainIgnoringCase("close");
--- a/planner/src/main/java/org/celeryhill/planner/PlannerMetrics.java
+++ b/planner/src/main/java/org/celeryhill/planner/PlannerMetrics.java
@@ -3,9 +3,9 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.celeryhill.peer.PeerMetrics;
 import org.celeryhill.peer.ThriftPeerNode;
 
 /**
@@ -62,25 +62,12 @@
 	 * @param node the node, not null
 	 */
 	void peers(ThriftPeerNode node) {
-		CounterWithCallback.builder()
-			.name("planner_peer_bytes")
-			.help("Bytes of the peer protocol without TCP and IP headers")
-			.labelNames("direction")
-			.callback((callback) -> {
-				callback.call(node.counters().sentBytes(), "sent");
-				callback.call(node.counters().receivedBytes(), "received");
-			})
-			.register(this.registry);
+		PeerMetrics.register(this.registry, "planner", node);
 		CounterWithCallback.builder()
 			.name("planner_peer_call_failures")
 			.help("Calls to peers that failed or were dropped")
 			.callback((callback) -> callback.call(node.counters().failedCalls() + node.counters().droppedCalls()))
 			.register(this.registry);
-		GaugeWithCallback.builder()
-			.name("planner_peer_members")
-			.help("Processes that are believed to be alive")
-			.callback((callback) -> callback.call(node.members().size()))
-			.register(this.registry);
 	}
 
 	void failure() {
--- a/state/src/main/java/org/celeryhill/state/LeaseStore.java
+++ b/state/src/main/java/org/celeryhill/state/LeaseStore.java
@@ -163,8 +163,8 @@
 			}
 			mayBeWritten |= attempt.mayBeWritten();
 		}
-		return failed.apply(
-				StoreUnavailable.unchanged("other writers interfere with lease " + name).after(mayBeWritten));
+		return failed
+			.apply(StoreUnavailable.unchanged("other writers interfere with lease " + name).after(mayBeWritten));
 	}
 
 	/**
