Go on with control when a model that is being loaded leaves the configuration

Cause: found while reading. The time of a load was looked up in the configuration in force and failed when the model was no longer there; the exception ended the periodic control of the holder for good. The test failed with NoSuchElementException before.

Change: such a load has no expected time and is not counted among the replicas that arrive. Nothing else changes.

--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -198,10 +198,10 @@
 
 	// Returns the time until the model that is being loaded can be used.
 	Optional<Duration> timeUntilLoaded() {
-		return this.change.filter(ModelChange::isLoad).map((one) -> {
-			Duration left = loadTime(one.model(), one.isCold()).minusNanos(System.nanoTime() - one.decidedNanos());
-			return left.isNegative() ? Duration.ZERO : left;
-		});
+		return this.change.filter(ModelChange::isLoad)
+			.flatMap((one) -> loadTime(one.model(), one.isCold())
+				.map((time) -> time.minusNanos(System.nanoTime() - one.decidedNanos()))
+				.map((left) -> left.isNegative() ? Duration.ZERO : left));
 	}
 
 	// Returns the models that are to come with the seconds until they can be used. A
@@ -212,19 +212,19 @@
 		this.change.ifPresent((one) -> {
 			timeUntilLoaded().ifPresent((left) -> arriving.put(one.model(), left.toMillis() / 1e3));
 			double removal = Math.max(REMOVAL_SECONDS, (System.nanoTime() - one.decidedNanos()) / 1e9);
-			this.following.ifPresent((next) -> arriving.put(next.model(),
-					removal + loadTime(next.model(), next.isCold()).toMillis() / 1e3));
+			this.following.ifPresent((next) -> loadTime(next.model(), next.isCold())
+				.ifPresent((time) -> arriving.put(next.model(), removal + time.toMillis() / 1e3)));
 		});
 		return arriving;
 	}
 
-	private Duration loadTime(ModelId model, boolean isCold) {
-		EngineProfile.Model found = this.profile.models()
+	// Empty for a model that the configuration no longer names.
+	private Optional<Duration> loadTime(ModelId model, boolean isCold) {
+		return this.profile.models()
 			.stream()
 			.filter((candidate) -> candidate.id().equals(model))
 			.findFirst()
-			.orElseThrow();
-		return isCold ? found.coldLoad() : found.diskLoad();
+			.map((found) -> isCold ? found.coldLoad() : found.diskLoad());
 	}
 
 	// Starts to load a model.
--- a/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
@@ -148,4 +148,17 @@
 		assertThat(results).containsExactly(false);
 	}
 
+	// Guards against control that ends for good because a configuration no longer names a
+	// model that is being loaded.
+	@Test
+	void survivesAModelThatLeavesTheConfiguration() throws Exception {
+		this.fixture.run(() -> this.commander.unload(ONE, "test"));
+		this.fixture.until("unloaded", this::tick, this.commander::isOpen);
+		this.fixture.run(() -> this.commander.load(TWO, false, "test"));
+		EngineProfile without = new EngineProfile(8, 1000, 2, 100_000_000L, 2, 1, List.of(model(ONE)));
+		this.fixture.run(() -> this.commander.update(entry(), without));
+		assertThat(this.fixture.call(this.commander::timeUntilLoaded)).isEmpty();
+		assertThat(this.fixture.call(this.commander::arriving)).isEmpty();
+	}
+
 }
