Hold the stream open in the test of refusals during a drain

Its stream lasts 0.6 s, and the daemon stops to listen when it has ended; a first poll that comes later finds no listener. With 0.9 s of delay before the first poll the test failed in the same way each time; the daemon was right.

Change: the engines are slow until the refusal was seen, and then go on. The assertions stay. With the same delay it passes.

Conclusion: mended.

--- a/entry/src/test/java/org/celeryhill/entry/ShutdownTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/ShutdownTests.java
@@ -78,9 +78,12 @@
 		EntryDaemon daemon = this.world.daemon("entry-1");
 		TestCaller caller = new TestCaller(daemon, TestWorld.KEY_A);
 		TestCaller.EventStream stream = caller.stream(TestCaller.body(300, true)).read(5);
+		// The stream outlasts the wait for the refusal, however late that is seen.
+		this.world.engines.values().forEach((engine) -> engine.setSlowdown(100));
 		CompletableFuture<Boolean> stop = CompletableFuture.supplyAsync(daemon::stop);
 		TestWorld.await(() -> caller.get("/v1/models").statusCode() == 503);
 		assertThat(daemon.isReady()).isFalse();
+		this.world.engines.values().forEach((engine) -> engine.setSlowdown(1));
 		assertThat(stream.readAll().isWhole()).isTrue();
 		stop.join();
 	}
