Tell once whether an adapter is loaded; do not start a finished attempt

An order to load an adapter got no answer in time (applied_late). The job expired and said that the adapter is not loaded, and the request went back to the queue; then the answer of a repeated order came and said that it is loaded, and the finished attempt was sent after all. The queue refused the request with 503 while the engine ran it, and the engine's answer followed on the connection.

Change: the commander tells only a job that still waits; a finished attempt is never started.

--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -400,10 +400,12 @@
 	private void loadAdapter(Lease lease, AdapterJob job) {
 		ModelId id = job.name().toId();
 		send(lease, true, job.name().model(), job.name().adapter(), 1, (outcome) -> {
-			this.jobs.remove(job);
+			// A job that has expired meanwhile was told so.
+			Consumer<Boolean> done = this.jobs.remove(job) ? job.done() : (isLoaded) -> {
+			};
 			if (outcome == PlatformEngines.Outcome.DONE) {
 				this.adapterUses.put(id, System.nanoTime());
-				job.done().accept(true);
+				done.accept(true);
 			}
 			else if (outcome == PlatformEngines.Outcome.ACCEPTED) {
 				this.count++;
@@ -411,7 +413,7 @@
 				this.inTransit++;
 				this.loop.schedule(() -> {
 					this.inTransit--;
-					job.done().accept(true);
+					done.accept(true);
 					pump();
 				}, ADAPTER_READY_MS, TimeUnit.MILLISECONDS);
 			}
@@ -421,7 +423,7 @@
 				if (outcome != PlatformEngines.Outcome.NOT_SENT && !isBusy) {
 					resync();
 				}
-				job.done().accept(false);
+				done.accept(false);
 			}
 		});
 	}
--- a/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
@@ -161,4 +161,20 @@
 		assertThat(this.fixture.call(this.commander::arriving)).isEmpty();
 	}
 
+	// Guards against a request that is sent although it was told that its adapter cannot
+	// be
+	// loaded: the engine's answer came after the request had stopped to wait for it.
+	@Test
+	void tellsOnceWhetherAnAdapterIsLoaded() throws Exception {
+		this.engine.answerLate(1, 2500);
+		List<Boolean> results = new ArrayList<>();
+		this.fixture.run(() -> this.commander.loadAdapter(adapter("a1"), results::add));
+		this.fixture.until("told", this::tick, () -> !results.isEmpty());
+		for (int i = 0; i < 150; i++) {
+			this.fixture.run(this::tick);
+			Thread.sleep(20);
+		}
+		assertThat(results).hasSize(1);
+	}
+
 }
--- a/forward/src/main/java/org/celeryhill/forward/AdapterLoader.java
+++ b/forward/src/main/java/org/celeryhill/forward/AdapterLoader.java
@@ -28,7 +28,8 @@
 	 * Asks for an adapter. Must be called on the event loop.
 	 * @param engine the engine, not null
 	 * @param name the model with its adapter, not null
-	 * @param done told on the event loop whether the adapter can be used now, not null
+	 * @param done told once, on the event loop, whether the adapter can be used now, not
+	 * null
 	 */
 	void load(BackendServerId engine, CallerRequest.ModelName name, Consumer<Boolean> done);
 
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -67,6 +67,10 @@
 		return this.exchange != null && this.exchange.isWritten();
 	}
 
+	boolean isFinished() {
+		return this.isFinished;
+	}
+
 	boolean isOpen() {
 		return this.exchange != null && !this.isFinished && this.exchange.isWritten();
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -177,7 +177,8 @@
 	}
 
 	private void adapterDone(ForwardAttempt next, boolean isLoaded) {
-		if (this.isEnded || this.attempt != next) {
+		// A finished attempt is back in the queue, where its request may be refused.
+		if (this.isEnded || this.attempt != next || next.isFinished()) {
 			return;
 		}
 		if (isLoaded) {
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -8,10 +8,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -102,6 +104,31 @@
 		});
 	}
 
+	// Must be called on the event loop.
+	void retire(String id) {
+		this.forwarder.directory().setRetiring(Map.of(BackendServerId.of(id), MODEL));
+	}
+
+	// Must be called on the event loop.
+	void later(long millis, Runnable task) {
+		this.loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+	}
+
+	// Sets what is done for a request whose adapter is not loaded.
+	void loadAdapters(Consumer<Consumer<Boolean>> loader) throws Exception {
+		run(() -> this.forwarder.setAdapterLoader(new AdapterLoader() {
+			@Override
+			public void load(BackendServerId engine, CallerRequest.ModelName name, Consumer<Boolean> done) {
+				loader.accept(done);
+			}
+
+			@Override
+			public void used(BackendServerId engine, CallerRequest.ModelName name) {
+				// No engine keeps adapters here.
+			}
+		}));
+	}
+
 	void forecast(PlacementForecast forecast) throws Exception {
 		run(() -> this.forwarder.setPlacementForecast(forecast));
 	}
--- a/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
@@ -199,4 +199,23 @@
 		}
 	}
 
+	// Guards against a request that is sent after it was put back in the queue, as its
+	// adapter was said to be missing and then to be loaded after all: its engine answered
+	// on a connection that had its final answer.
+	@Test
+	void ignoresAnAdapterThatIsLoadedTooLate() throws Exception {
+		try (RawEngine engine = new RawEngine(StreamForwardTests::twoEvents)) {
+			this.fixture.add("e1", ForwardFixture.ENGINES, engine);
+			this.fixture.loadAdapters((done) -> {
+				this.fixture.retire("e1");
+				done.accept(false);
+				this.fixture.later(100, () -> done.accept(true));
+			});
+			String request = ForwardFixture.generate("/stream/x", "r1").replace("id: r1", "id: r1\r\nadapter: a1");
+			assertThat(this.fixture.exchange(request)).startsWith("HTTP/1.1 503");
+			pause(300);
+			assertThat(engine.received()).isEmpty();
+		}
+	}
+
 }
