Log unserved models, suspect servers and the volume of heartbeats

Change: lines model_unserved (holder, once a second a model), server_suspected, server_readmitted and heartbeats_answered (every 2 s); engine_state names the models. DemandHistory takes the peak and unserved time of models out of PlacementLoop; the peak decays by elapsed time instead of by rounds. SwapPlanner.plan returns the obstacle of each unserved model beside the steps.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -132,7 +132,7 @@
 		this.client = BackendClient.create(this.loop);
 		this.trafficController = DefaultTrafficController.create(HostId.of(settings.hostId),
 				DataCentre.of(settings.dataCentre), UUID.randomUUID().toString().substring(0, 8),
-				settings.hostId.hashCode(), trafficTunables(settings.retryRatio));
+				settings.hostId.hashCode(), trafficTunables(settings.retryRatio), new AvailabilityLog());
 		this.forwarder = Forwarder.create(this.loop, this.client, new PlatformHeaderCodec(), this.trafficController,
 				this.metrics);
 		this.front = IngressServer.create(this.loop, this.forwarder);
--- a/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
+++ b/edge/src/main/java/org/celeryhill/edge/EngineCommander.java
@@ -331,7 +331,7 @@
 			this.lastAdapterUseNanos.keySet().retainAll(adapters);
 			adapters.forEach((adapter) -> this.lastAdapterUseNanos.putIfAbsent(adapter, System.nanoTime()));
 			LOG.info("engine_state", "engine", this.entry.id(), "count", this.acceptedCommands, "models",
-					this.residents.size(), "adapters", adapters.size());
+					this.residents, "adapters", adapters.size());
 			sendDueCommands();
 		});
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -68,6 +68,8 @@
 
 	private final Set<PeerMessages.EngineModel> usedAdapters = new HashSet<>();
 
+	private final HeartbeatVolume heartbeatVolume = new HeartbeatVolume();
+
 	private final EventLoop loop;
 
 	private final JsonHttpClient calls;
@@ -292,7 +294,8 @@
 		try {
 			JsonNode body = JsonHttpClient.MAPPER.readTree(bytes);
 			if (request.target().equals(HEARTBEAT_PATH)) {
-				respond(channel, processHeartbeat(body));
+				int responseBytes = respond(channel, processHeartbeat(body));
+				this.heartbeatVolume.add(bytes.length, responseBytes, this.members.size());
 			}
 			else if (request.target().equals(ADAPTER_PATH)) {
 				processAdapterRequest(body, channel);
@@ -314,10 +317,12 @@
 		return ActiveRequest.NONE;
 	}
 
-	private static void respond(ResponseChannel channel, ObjectNode body) {
+	// Sends a response and returns the size of its body in bytes.
+	private static int respond(ResponseChannel channel, ObjectNode body) {
 		try {
-			channel.respond(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE,
-					Unpooled.wrappedBuffer(JsonHttpClient.MAPPER.writeValueAsBytes(body)));
+			byte[] bytes = JsonHttpClient.MAPPER.writeValueAsBytes(body);
+			channel.respond(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE, Unpooled.wrappedBuffer(bytes));
+			return bytes.length;
 		}
 		catch (IOException ex) {
 			throw new IllegalStateException("failed to encode a message", ex);
--- a/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
+++ b/edge/src/main/java/org/celeryhill/edge/PlacementLoop.java
@@ -25,6 +25,7 @@
 import org.celeryhill.forward.RoutingTable;
 import org.celeryhill.forward.ServerEntry;
 import org.celeryhill.forward.ServiceProfile;
+import org.celeryhill.placement.DemandHistory;
 import org.celeryhill.placement.SwapPlanner;
 import org.celeryhill.platform.PlatformEngineClient;
 
@@ -44,12 +45,6 @@
 	 */
 	private static final double COLD_LOAD_PART = 0.6;
 
-	/**
-	 * Time constant of the decay of demand peaks. Demand for a model often returns within
-	 * minutes.
-	 */
-	private static final double PEAK_DECAY_NANOS = 120e9;
-
 	/**
 	 * Time after the restart of an engine within which a copy of a command sent before
 	 * the restart may still arrive.
@@ -62,9 +57,9 @@
 
 	private final Map<BackendServerId, Long> restartNanos = new HashMap<>();
 
-	private final Map<DemandMeter.Key, Double> peakValues = new HashMap<>();
+	private final Map<ServiceId, DemandHistory> demandHistories = new HashMap<>();
 
-	private final Map<DemandMeter.Key, Long> unservedSinceNanos = new HashMap<>();
+	private final UnservedModelLog unservedLog = new UnservedModelLog();
 
 	private final Deque<Long> coldLoadNanos = new ArrayDeque<>();
 
@@ -169,10 +164,7 @@
 			DemandMeter.Rate rate = rates.getOrDefault(new DemandMeter.Key(service, model.id()),
 					new DemandMeter.Rate(0, 0));
 			sizes.put(model.id(), model.bytes());
-			models
-				.add(new SwapPlanner.ModelInput(model.id(), model.bytes(), rate.valuePerSecond(), rate.latePerSecond(),
-						unservedSeconds(service, model.id(), rate), updatePeakValue(service, model.id(), rate),
-						model.diskLoadTime().toMillis() / 1e3, model.coldLoadTime().toMillis() / 1e3));
+			models.add(modelInput(service, model, rate));
 		}
 		List<SwapPlanner.EngineInput> inputs = new ArrayList<>();
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
@@ -180,26 +172,18 @@
 				inputs.add(engineInput(entry, this.commanders.get(entry.id()), sizes));
 			}
 		}
-		for (SwapPlanner.Step step : SwapPlanner.plan(inputs, models, allowedColdLoads(profile))) {
-			executeStep(step);
-		}
+		SwapPlanner.Plan plan = SwapPlanner.plan(inputs, models, allowedColdLoads(profile));
+		plan.steps().forEach(this::executeStep);
+		this.unservedLog.log(plan.unserved(), System.nanoTime());
 	}
 
-	private double updatePeakValue(ServiceId service, ModelId model, DemandMeter.Rate rate) {
-		double decayFactor = Math.exp(-PLAN_PERIOD_NANOS / PEAK_DECAY_NANOS);
-		return this.peakValues.merge(new DemandMeter.Key(service, model), rate.valuePerSecond(),
-				(before, now) -> Math.max(before * decayFactor, now));
-	}
-
-	private double unservedSeconds(ServiceId service, ModelId model, DemandMeter.Rate rate) {
-		DemandMeter.Key key = new DemandMeter.Key(service, model);
-		boolean isServed = rate.valuePerSecond() <= 0
-				|| this.commanders.values().stream().anyMatch((one) -> one.residents().contains(model));
-		if (isServed) {
-			this.unservedSinceNanos.remove(key);
-			return 0;
-		}
-		return (System.nanoTime() - this.unservedSinceNanos.computeIfAbsent(key, (one) -> System.nanoTime())) / 1e9;
+	private SwapPlanner.ModelInput modelInput(ServiceId service, EngineProfile.Model model, DemandMeter.Rate rate) {
+		boolean hasReplica = this.commanders.values().stream().anyMatch((one) -> one.residents().contains(model.id()));
+		DemandHistory.Summary history = this.demandHistories.computeIfAbsent(service, (key) -> DemandHistory.create())
+			.record(model.id(), rate.valuePerSecond(), hasReplica, System.nanoTime());
+		return new SwapPlanner.ModelInput(model.id(), model.bytes(), rate.valuePerSecond(), rate.latePerSecond(),
+				history.unservedSeconds(), history.peakValuePerSecond(), model.diskLoadTime().toMillis() / 1e3,
+				model.coldLoadTime().toMillis() / 1e3);
 	}
 
 	private SwapPlanner.EngineInput engineInput(ServerEntry entry, EngineCommander commander,
--- a/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -81,9 +81,10 @@
 	 * @param engines the engines of one service, not null
 	 * @param models the models of the service with their demand, not null
 	 * @param maxColdLoads the maximum number of loads from the weight store
-	 * @return the steps, most important first, never null
+	 * @return the steps, most important first, and the requested models that stay without
+	 * a replica, never null
 	 */
-	public static List<Step> plan(List<EngineInput> engines, List<ModelInput> models, int maxColdLoads) {
+	public static Plan plan(List<EngineInput> engines, List<ModelInput> models, int maxColdLoads) {
 		PlanningState state = new PlanningState(engines, models, maxColdLoads);
 		List<Step> steps = new ArrayList<>();
 		Optional<Step> bestStep = state.findBestStep();
@@ -92,7 +93,55 @@
 			state.apply(bestStep.get());
 			bestStep = state.findBestStep();
 		}
-		return steps;
+		return new Plan(steps, state.findUnserved());
+	}
+
+	/**
+	 * Result of a planning round.
+	 *
+	 * @param steps the steps, most important first
+	 * @param unserved the requested models that no engine holds or loads after the steps
+	 */
+	public record Plan(List<Step> steps, List<Unserved> unserved) {
+
+		/**
+		 * Copies the lists.
+		 */
+		public Plan {
+			steps = List.copyOf(steps);
+			unserved = List.copyOf(unserved);
+		}
+
+	}
+
+	/**
+	 * A requested model without a replica that is not loaded yet.
+	 *
+	 * @param model the model, not null
+	 * @param reason why no engine loads it, not null
+	 * @param seconds the seconds for which requests have waited
+	 * @param valuePerSecond the value per second of the requests
+	 */
+	public record Unserved(ModelId model, Obstacle reason, double seconds, double valuePerSecond) {
+	}
+
+	/**
+	 * Why a requested model is not loaded, the last obstacle that any engine reached.
+	 */
+	public enum Obstacle {
+
+		/** No engine accepts commands now. */
+		NO_ENGINE,
+
+		/** The weights are in no cache, and the weight store allows no load now. */
+		LOAD_LIMIT,
+
+		/** No resident is large enough and may be unloaded. */
+		NO_MEMORY,
+
+		/** Unloading a resident loses more than the model gains. */
+		LOW_GAIN
+
 	}
 
 	/**
@@ -281,6 +330,37 @@
 					: Optional.empty();
 		}
 
+		List<Unserved> findUnserved() {
+			List<Unserved> unserved = new ArrayList<>();
+			for (ModelInput model : this.models.values()) {
+				boolean isPlaced = ready(model.id()) > 0 || this.secondsUntilReady.containsKey(model.id())
+						|| this.plannedLoads.contains(model.id());
+				if (model.valuePerSecond() > 0 && !isPlaced) {
+					unserved.add(new Unserved(model.id(), findObstacle(model), model.unservedSeconds(),
+							model.valuePerSecond()));
+				}
+			}
+			return unserved;
+		}
+
+		private Obstacle findObstacle(ModelInput model) {
+			Obstacle last = Obstacle.NO_ENGINE;
+			for (EngineInput engine : this.acceptingEngines.values()) {
+				Obstacle obstacle = findObstacle(engine, model);
+				last = (obstacle.compareTo(last) > 0) ? obstacle : last;
+			}
+			return last;
+		}
+
+		private Obstacle findObstacle(EngineInput engine, ModelInput model) {
+			if (!engine.cachedModels().contains(model.id()) && this.remainingColdLoads <= 0) {
+				return Obstacle.LOAD_LIMIT;
+			}
+			long missingBytes = model.bytes() - engine.freeBytes();
+			return (missingBytes > 0 && findVictim(engine, missingBytes).isEmpty()) ? Obstacle.NO_MEMORY
+					: Obstacle.LOW_GAIN;
+		}
+
 		private Optional<ModelId> findVictim(EngineInput engine, long missingBytes) {
 			ModelId best = null;
 			for (ModelId candidate : engine.removable()) {
--- a/placement/src/test/java/org/celeryhill/placement/SwapPlannerTests.java
+++ b/placement/src/test/java/org/celeryhill/placement/SwapPlannerTests.java
@@ -29,8 +29,10 @@
 	// Guards against memory that stays free while a model has no replica.
 	@Test
 	void loadsMissingModelIntoFreeMemoryWithoutDemand() {
-		List<SwapPlanner.Step> steps = SwapPlanner.plan(List.of(engine("e1", 100, Map.of(HOT, SIZE_BYTES), Set.of())),
-				List.of(model(HOT, 0, 0, 0), model(MISSING, 0, 0, 0)), 1);
+		List<SwapPlanner.Step> steps = SwapPlanner
+			.plan(List.of(engine("e1", 100, Map.of(HOT, SIZE_BYTES), Set.of())),
+					List.of(model(HOT, 0, 0, 0), model(MISSING, 0, 0, 0)), 1)
+			.steps();
 		assertThat(steps).hasSize(1);
 		assertThat(steps.get(0).load()).isEqualTo(MISSING);
 		assertThat(steps.get(0).unload()).isEmpty();
@@ -39,17 +41,19 @@
 	// Guards against unloads while the measured demand is too low to be reliable.
 	@Test
 	void unloadsNothingWhileDemandIsUnknown() {
-		assertThat(SwapPlanner.plan(List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES), Set.of(MISSING))),
-				List.of(model(HOT, 0, 0, 0), model(MISSING, 0.2, 0, 3)), 1))
-			.isEmpty();
+		assertThat(SwapPlanner
+			.plan(List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES), Set.of(MISSING))),
+					List.of(model(HOT, 0, 0, 0), model(MISSING, 0.2, 0, 3)), 1)
+			.steps()).isEmpty();
 	}
 
 	// Guards against requests that time out because no engine holds their model.
 	@Test
 	void replacesIdleModelWithRequestedModel() {
-		List<SwapPlanner.Step> steps = SwapPlanner.plan(
-				List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES, IDLE, SIZE_BYTES), Set.of(MISSING))),
-				List.of(model(HOT, 30, 0, 0), model(IDLE, 0, 0, 0), model(MISSING, 0.3, 0, 1)), 1);
+		List<SwapPlanner.Step> steps = SwapPlanner
+			.plan(List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES, IDLE, SIZE_BYTES), Set.of(MISSING))),
+					List.of(model(HOT, 30, 0, 0), model(IDLE, 0, 0, 0), model(MISSING, 0.3, 0, 1)), 1)
+			.steps();
 		assertThat(steps).hasSize(1);
 		assertThat(steps.get(0).unload()).contains(IDLE);
 		assertThat(steps.get(0).isCold()).isFalse();
@@ -58,9 +62,10 @@
 	// Guards against unloading a busy model to load a rarely requested one.
 	@Test
 	void keepsOnlyReplicaOfBusyModel() {
-		assertThat(SwapPlanner.plan(List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES), Set.of(MISSING))),
-				List.of(model(HOT, 30, 0, 0), model(MISSING, 0.3, 0, 2)), 1))
-			.isEmpty();
+		assertThat(SwapPlanner
+			.plan(List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES), Set.of(MISSING))),
+					List.of(model(HOT, 30, 0, 0), model(MISSING, 0.3, 0, 2)), 1)
+			.steps()).isEmpty();
 	}
 
 	// Guards against models that are loaded and unloaded repeatedly because the measured
@@ -69,11 +74,12 @@
 	void addsReplicaOnlyForLateRequests() {
 		List<SwapPlanner.EngineInput> engines = List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES), Set.of()),
 				engine("e2", 0, Map.of(IDLE, SIZE_BYTES), Set.of(HOT)));
-		assertThat(SwapPlanner.plan(engines,
-				List.of(model(HOT, 30, 0.5, 0), model(IDLE, 0, 0, 0), model(WARM, 1, 0, 0)), 0))
-			.isEmpty();
-		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
-				List.of(model(HOT, 30, 10, 0), model(IDLE, 0, 0, 0), model(WARM, 1, 0, 0)), 0);
+		assertThat(SwapPlanner
+			.plan(engines, List.of(model(HOT, 30, 0.5, 0), model(IDLE, 0, 0, 0), model(WARM, 1, 0, 0)), 0)
+			.steps()).isEmpty();
+		List<SwapPlanner.Step> steps = SwapPlanner
+			.plan(engines, List.of(model(HOT, 30, 10, 0), model(IDLE, 0, 0, 0), model(WARM, 1, 0, 0)), 0)
+			.steps();
 		assertThat(steps).extracting(SwapPlanner.Step::load).containsExactly(HOT);
 	}
 
@@ -84,9 +90,10 @@
 		SwapPlanner.ModelInput paused = new SwapPlanner.ModelInput(WARM, SIZE_BYTES, 0, 0, 0, 30, 2, 8);
 		List<SwapPlanner.EngineInput> engines = List
 			.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES, WARM, SIZE_BYTES), Set.of(MISSING)));
-		assertThat(SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 0.3, 0, 1)), 1))
+		assertThat(
+				SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 0.3, 0, 1)), 1).steps())
 			.isEmpty();
-		assertThat(SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 8, 0, 1)), 1))
+		assertThat(SwapPlanner.plan(engines, List.of(model(HOT, 30, 0, 0), paused, model(MISSING, 8, 0, 1)), 1).steps())
 			.hasSize(1);
 	}
 
@@ -96,8 +103,8 @@
 		List<SwapPlanner.EngineInput> engines = List.of(engine("e1", 100, Map.of(), Set.of()),
 				engine("e2", 100, Map.of(), Set.of()));
 		List<SwapPlanner.ModelInput> models = List.of(model(HOT, 9, 0, 1), model(WARM, 5, 0, 1));
-		assertThat(SwapPlanner.plan(engines, models, 1)).hasSize(1);
-		assertThat(SwapPlanner.plan(engines, models, 0)).isEmpty();
+		assertThat(SwapPlanner.plan(engines, models, 1).steps()).hasSize(1);
+		assertThat(SwapPlanner.plan(engines, models, 0).steps()).isEmpty();
 	}
 
 	// Guards against loading a model on two engines when one replica is enough.
@@ -105,7 +112,7 @@
 	void loadsMissingModelOnOneEngine() {
 		List<SwapPlanner.EngineInput> engines = List.of(engine("e1", 100, Map.of(), Set.of(MISSING)),
 				engine("e2", 100, Map.of(), Set.of(MISSING)));
-		assertThat(SwapPlanner.plan(engines, List.of(model(MISSING, 9, 0, 1)), 4)).hasSize(1);
+		assertThat(SwapPlanner.plan(engines, List.of(model(MISSING, 9, 0, 1)), 4).steps()).hasSize(1);
 	}
 
 	// Guards against commands to engines that are executing a command or draining.
@@ -113,7 +120,7 @@
 	void skipsEngineThatDoesNotAcceptCommands() {
 		SwapPlanner.EngineInput closed = new SwapPlanner.EngineInput(BackendServerId.of("e1"), 100, Map.of(), Set.of(),
 				Map.of(), Set.of(), false, true);
-		assertThat(SwapPlanner.plan(List.of(closed), List.of(model(MISSING, 9, 0, 1)), 4)).isEmpty();
+		assertThat(SwapPlanner.plan(List.of(closed), List.of(model(MISSING, 9, 0, 1)), 4).steps()).isEmpty();
 	}
 
 	// Guards against many engines that load the same model. Loads take seconds, in which
@@ -124,7 +131,7 @@
 				loadingEngine("e2", HOT, 6), loadingEngine("e3", HOT, 7),
 				engine("e4", 0, Map.of(IDLE, SIZE_BYTES), Set.of()));
 		List<SwapPlanner.ModelInput> models = List.of(model(HOT, 30, 18, 0), model(IDLE, 0, 0, 0));
-		assertThat(SwapPlanner.plan(engines, models, 2)).isEmpty();
+		assertThat(SwapPlanner.plan(engines, models, 2).steps()).isEmpty();
 	}
 
 	// Guards against a model that stays without a ready replica while slow loads or stuck
@@ -133,8 +140,9 @@
 	void loadsCachedWeightsDespiteSlowerLoadElsewhere() {
 		List<SwapPlanner.EngineInput> engines = List.of(loadingEngine("e1", MISSING, 6),
 				engine("e2", 0, Map.of(IDLE, SIZE_BYTES), Set.of(MISSING)));
-		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
-				List.of(model(MISSING, 30, 30, 0), model(IDLE, 0, 0, 0)), 0);
+		List<SwapPlanner.Step> steps = SwapPlanner
+			.plan(engines, List.of(model(MISSING, 30, 30, 0), model(IDLE, 0, 0, 0)), 0)
+			.steps();
 		assertThat(steps).extracting(SwapPlanner.Step::load).containsExactly(MISSING);
 	}
 
@@ -144,8 +152,9 @@
 		List<SwapPlanner.EngineInput> engines = List.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES), Set.of()),
 				engine("e2", 0, Map.of(WARM, SIZE_BYTES, IDLE, SIZE_BYTES), Set.of(HOT)),
 				engine("e3", 0, Map.of(IDLE, SIZE_BYTES), Set.of(HOT)));
-		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
-				List.of(model(HOT, 30, 20, 0), model(WARM, 30, 0, 0), model(IDLE, 0, 0, 0)), 0);
+		List<SwapPlanner.Step> steps = SwapPlanner
+			.plan(engines, List.of(model(HOT, 30, 20, 0), model(WARM, 30, 0, 0), model(IDLE, 0, 0, 0)), 0)
+			.steps();
 		assertThat(steps).hasSize(1);
 		assertThat(steps.get(0).engine()).isEqualTo(BackendServerId.of("e3"));
 	}
@@ -158,8 +167,10 @@
 		SwapPlanner.ModelInput rarelyRequested = new SwapPlanner.ModelInput(rare, SIZE_BYTES, 0, 0, 0, 0.3, 2, 8);
 		List<SwapPlanner.EngineInput> engines = List
 			.of(engine("e1", 0, Map.of(HOT, SIZE_BYTES, IDLE, SIZE_BYTES, rare, SIZE_BYTES), Set.of(MISSING)));
-		List<SwapPlanner.Step> steps = SwapPlanner.plan(engines,
-				List.of(model(HOT, 30, 0, 0), model(IDLE, 0, 0, 0), rarelyRequested, model(MISSING, 5, 5, 0)), 0);
+		List<SwapPlanner.Step> steps = SwapPlanner
+			.plan(engines,
+					List.of(model(HOT, 30, 0, 0), model(IDLE, 0, 0, 0), rarelyRequested, model(MISSING, 5, 5, 0)), 0)
+			.steps();
 		assertThat(steps).extracting(SwapPlanner.Step::unload).containsExactly(Optional.of(rare));
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -78,6 +78,9 @@
 	/** Hash of the host, which selects the daemon's subset of backend servers. */
 	private final long hostHash;
 
+	/** Receives the begin and end of each suspicion of a backend server. */
+	private final AvailabilityListener availabilityListener;
+
 	/** Number of attempts created, used for attempt ids. */
 	private long attemptCount;
 
@@ -91,8 +94,9 @@
 	private long shareUpdatedNanos = Long.MIN_VALUE;
 
 	private DefaultTrafficController(HostId host, DataCentre dataCentre, String incarnation, long seed,
-			TrafficTunables tunables) {
+			TrafficTunables tunables, AvailabilityListener availabilityListener) {
 		this.tunables = tunables;
+		this.availabilityListener = availabilityListener;
 		this.hostHash = ServicePool.mixBits(host.value().hashCode());
 		this.router = new Router(seed, dataCentre, this.prefixIndex, tunables.adapterLoadTime().toNanos() / 1e9);
 		this.admissionPolicy = new AdmissionPolicy(tunables.queueLimit());
@@ -115,11 +119,27 @@
 	 */
 	public static DefaultTrafficController create(HostId host, DataCentre dataCentre, String incarnation, long seed,
 			TrafficTunables tunables) {
+		return create(host, dataCentre, incarnation, seed, tunables, AvailabilityListener.NONE);
+	}
+
+	/**
+	 * Creates a controller that reports which backend servers are suspect.
+	 * @param host the host of the daemon, not null
+	 * @param dataCentre the data centre of the daemon, not null
+	 * @param incarnation a text that differs at each start of the daemon, not null
+	 * @param seed the seed of the random choices
+	 * @param tunables the parameters of the deployment, not null
+	 * @param availabilityListener receives the begin and end of each suspicion, not null
+	 * @return the controller, never null
+	 */
+	public static DefaultTrafficController create(HostId host, DataCentre dataCentre, String incarnation, long seed,
+			TrafficTunables tunables, AvailabilityListener availabilityListener) {
 		Objects.requireNonNull(host, "host");
 		Objects.requireNonNull(dataCentre, "dataCentre");
 		Objects.requireNonNull(incarnation, "incarnation");
 		Objects.requireNonNull(tunables, "tunables");
-		return new DefaultTrafficController(host, dataCentre, incarnation, seed, tunables);
+		Objects.requireNonNull(availabilityListener, "availabilityListener");
+		return new DefaultTrafficController(host, dataCentre, incarnation, seed, tunables, availabilityListener);
 	}
 
 	@Override
@@ -140,7 +160,8 @@
 	}
 
 	private ServicePool getOrCreatePool(ServiceId service) {
-		return this.pools.computeIfAbsent(service, (id) -> new ServicePool(this.tunables, this.hostHash));
+		return this.pools.computeIfAbsent(service,
+				(id) -> new ServicePool(this.tunables, this.hostHash, this.availabilityListener));
 	}
 
 	@Override
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -1,5 +1,6 @@
 package org.celeryhill.traffic;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -62,6 +63,9 @@
 	/** Hash of the host of this daemon, which selects its subset of backend servers. */
 	private final long hostHash;
 
+	/** Receives the begin and end of each suspicion. */
+	private final AvailabilityListener availabilityListener;
+
 	/** Index of the next new backend server. */
 	private int nextIndex;
 
@@ -69,10 +73,12 @@
 	 * Creates an empty pool.
 	 * @param tunables the parameters of the deployment
 	 * @param hostHash the hash of the host of this daemon
+	 * @param availabilityListener receives the begin and end of each suspicion
 	 */
-	ServicePool(TrafficTunables tunables, long hostHash) {
+	ServicePool(TrafficTunables tunables, long hostHash, AvailabilityListener availabilityListener) {
 		this.tunables = tunables;
 		this.hostHash = hostHash;
+		this.availabilityListener = availabilityListener;
 	}
 
 	/**
@@ -219,6 +225,7 @@
 		boolean wasSuspect = backend.isSuspect;
 		if (wasSuspect && backend.isAcceptingWork && now >= backend.suspectUntilNanos) {
 			backend.isSuspect = false;
+			this.availabilityListener.onReadmitted(backend.id);
 		}
 		if (isRecovered || wasSuspect != backend.isSuspect) {
 			backend.beginSlowStart(now);
@@ -259,8 +266,10 @@
 	 */
 	void markSuspect(BackendState backend, long now) {
 		int doublings = Math.min(4, backend.consecutiveFailures - 1);
-		backend.suspectUntilNanos = now + (this.tunables.suspectDuration().toNanos() << doublings);
+		Duration duration = this.tunables.suspectDuration().multipliedBy(1L << doublings);
+		backend.suspectUntilNanos = now + duration.toNanos();
 		backend.isSuspect = true;
+		this.availabilityListener.onSuspected(backend.id, backend.consecutiveFailures, duration);
 		updateReadyBackends(backend, Set.of());
 	}
 
