Send heartbeats whose size does not depend on hosts and models

Cause: each host sent the demand for all models that it knew every 300 ms, and the response of the lease holder contained the usage of all hosts. With 88 hosts that needs about 11 and 23 Mbit/s on a link of 7. Class of the fault: messages of one host that grow with the number of hosts. Change: the holder returns the sum over the other hosts (FleetUsage, UsageTracker.recordGroupTotals) and keeps the demand of each host; a host sends the models asked for since the last heartbeat that was answered, and all of them to a new holder. A malformed response is logged.

--- a/edge/src/main/java/org/celeryhill/edge/DemandMeter.java
+++ b/edge/src/main/java/org/celeryhill/edge/DemandMeter.java
@@ -1,54 +1,60 @@
 package org.celeryhill.edge;
 
-import java.util.HashMap;
+import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.forward.DemandListener;
 
 /**
- * Measures the demand for each model at this host as exponentially decaying rates. Must
- * be used on the event loop.
+ * Measures the demand for each model at this host and selects what the lease holder does
+ * not know of it yet. Must be used on the event loop.
  */
 final class DemandMeter implements DemandListener {
 
-	/**
-	 * Time constant of the decay. Demand shifts every few seconds, so that older requests
-	 * do not predict it.
-	 */
-	private static final double DECAY_SECONDS = 4;
+	private final DemandRates rates = new DemandRates();
 
-	private static final double MIN_RATE = 0.01;
+	private Optional<InetSocketAddress> informedHost = Optional.empty();
 
-	private final Map<Key, Rates> rates = new HashMap<>();
+	private long informedNanos;
 
 	@Override
 	public void onRequest(ServiceId service, ModelId model, double value) {
-		findDecayed(service, model).value += value / DECAY_SECONDS;
+		this.rates.add(new Key(service, model), value, 0);
 	}
 
 	@Override
 	public void onLateRequest(ServiceId service, ModelId model, double value) {
-		findDecayed(service, model).late += value / DECAY_SECONDS;
-	}
-
-	private Rates findDecayed(ServiceId service, ModelId model) {
-		Rates found = this.rates.computeIfAbsent(new Key(service, model), (key) -> new Rates());
-		found.decay(System.nanoTime());
-		return found;
+		this.rates.add(new Key(service, model), 0, value);
 	}
 
 	// Returns the current rates of all models in demand.
 	Map<Key, Rate> rates() {
-		long now = System.nanoTime();
-		Map<Key, Rate> result = new HashMap<>();
-		this.rates.values().removeIf((one) -> {
-			one.decay(now);
-			return one.value < MIN_RATE;
-		});
-		this.rates.forEach((key, one) -> result.put(key, new Rate(one.value, one.late)));
-		return result;
+		return this.rates.current();
+	}
+
+	// Returns whether a host knows the rates of this host up to some time, so that it
+	// needs only those that changed since.
+	boolean isInformed(InetSocketAddress host) {
+		return this.informedHost.filter(host::equals).isPresent();
+	}
+
+	// Returns the rates that a host does not know yet.
+	Map<Key, Rate> unknownRates(InetSocketAddress host) {
+		return isInformed(host) ? this.rates.changedSince(this.informedNanos) : this.rates.current();
+	}
+
+	// Records that a host has received the rates that were unknown to it at a time.
+	void recordInformed(InetSocketAddress host, long nanos) {
+		this.informedHost = Optional.of(host);
+		this.informedNanos = nanos;
+	}
+
+	// Records that no host knows the rates of this host.
+	void forgetInformedHost() {
+		this.informedHost = Optional.empty();
 	}
 
 	/**
@@ -75,21 +81,4 @@
 
 	}
 
-	private static final class Rates {
-
-		private double value;
-
-		private double late;
-
-		private long updatedNanos = System.nanoTime();
-
-		private void decay(long now) {
-			double factor = Math.exp(-(now - this.updatedNanos) / 1e9 / DECAY_SECONDS);
-			this.value *= factor;
-			this.late *= factor;
-			this.updatedNanos = now;
-		}
-
-	}
-
 }
--- a/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -57,11 +57,15 @@
 		rates.forEach((key, rate) -> list.addObject()
 			.put("service", key.service().value())
 			.put("model", key.model().value())
-			.put("value", rate.valuePerSecond())
-			.put("late", rate.latePerSecond()));
+			.put("value", round(rate.valuePerSecond()))
+			.put("late", round(rate.latePerSecond())));
 		return list;
 	}
 
+	private static double round(double rate) {
+		return Math.round(rate * 1000) / 1000.0;
+	}
+
 	static Map<DemandMeter.Key, DemandMeter.Rate> decodeDemand(JsonNode list) {
 		Map<DemandMeter.Key, DemandMeter.Rate> rates = new HashMap<>();
 		for (JsonNode node : list) {
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -7,7 +7,6 @@
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +15,6 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -24,7 +22,9 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.celeryhill.base.BackendServerId;
+import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.EventLog;
+import org.celeryhill.base.HostId;
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.UsageTotals;
 import org.celeryhill.forward.AdapterLoader;
@@ -61,10 +61,11 @@
 
 	private static final long HEARTBEAT_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-	/** Time without a heartbeat after which a host is no longer taken into account. */
-	private static final long MEMBER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2500);
+	private final PeerMembers members = new PeerMembers();
 
-	private final Map<String, Member> members = new LinkedHashMap<>();
+	private final FleetUsage fleetUsage;
+
+	private final HostId host;
 
 	private final Set<PeerMessages.EngineModel> usedAdapters = new HashSet<>();
 
@@ -121,6 +122,8 @@
 		this.storeFollower = storeFollower;
 		this.storeRelay = storeRelay;
 		this.address = settings.peer;
+		this.host = HostId.of(settings.hostId);
+		this.fleetUsage = new FleetUsage(this.host, DataCentre.of(settings.dataCentre));
 		this.seeds = settings.seedAddresses();
 	}
 
@@ -137,6 +140,9 @@
 			this.usedAdapters.clear();
 			updateRetiringModels(retiringModels());
 			updateLoadTimes(this.placementLoop.remainingLoadTimes());
+			this.fleetUsage.record(this.forwarder.usageTotals());
+			this.forwarder.observeOtherHosts(this.fleetUsage.sumWithout(this.host), this.members.count());
+			this.demandMeter.forgetInformedHost();
 			return;
 		}
 		target().ifPresent(this::sendHeartbeat);
@@ -151,7 +157,7 @@
 		}
 		this.isHolderUnreachable = false;
 		List<InetSocketAddress> peerAddresses = new ArrayList<>(this.seeds);
-		this.members.keySet().forEach((text) -> peerAddresses.add(ServerEntryCodec.address(text)));
+		this.members.addresses().forEach((text) -> peerAddresses.add(ServerEntryCodec.address(text)));
 		peerAddresses.removeIf((one) -> one.equals(ServerEntryCodec.address(this.address)));
 		return peerAddresses.isEmpty() ? Optional.empty()
 				: Optional.of(peerAddresses.get(this.nextPeerIndex++ % peerAddresses.size()));
@@ -164,7 +170,8 @@
 		body.put("version", this.configuration.version());
 		body.put("servers", this.storeFollower.serverVersion());
 		body.set("usage", PeerMessages.encodeUsage(this.forwarder.usageTotals()));
-		body.set("demand", PeerMessages.encodeDemand(this.demandMeter.rates()));
+		body.put("isWholeDemand", !this.demandMeter.isInformed(target));
+		body.set("demand", PeerMessages.encodeDemand(this.demandMeter.unknownRates(target)));
 		body.set("uses", PeerMessages.encodeEngineModels(List.copyOf(this.usedAdapters)));
 		this.usedAdapters.clear();
 		long startNanos = System.nanoTime();
@@ -176,7 +183,12 @@
 				LOG.info("beat_failed", "target", target, "cause", (failure != null) ? failure : reply.status());
 				return;
 			}
-			handleHeartbeatResponse(reply.body(), startNanos);
+			try {
+				handleHeartbeatResponse(target, reply.body(), startNanos);
+			}
+			catch (IllegalArgumentException ex) {
+				LOG.warn("peer_message_malformed", "target", target, "cause", ex.getMessage());
+			}
 		});
 	}
 
@@ -185,15 +197,22 @@
 		return new JsonHttpClient.Call(target, "peer", "POST", path, Map.of(), Optional.of(body), timeout);
 	}
 
-	private void handleHeartbeatResponse(JsonNode reply, long sentNanos) {
+	private void handleHeartbeatResponse(InetSocketAddress target, JsonNode reply, long sentNanos) {
 		PeerMessages.findText(reply, "holder")
 			.ifPresent((holder) -> this.holderHint = Optional.of(ServerEntryCodec.address(holder)));
-		for (JsonNode usage : reply.path("usage")) {
-			this.forwarder.observePeer(PeerMessages.decodeUsage(usage));
-		}
 		PeerMessages.findText(reply, "configuration")
 			.ifPresent((text) -> this.configuration.applyIfNewer(Base64.getDecoder().decode(text), "peer"));
+		if (!reply.path("isHolder").asBoolean() || reply.path("isDemandNeeded").asBoolean()) {
+			this.demandMeter.forgetInformedHost();
+		}
+		else {
+			this.demandMeter.recordInformed(target, sentNanos);
+		}
 		if (reply.path("isHolder").asBoolean()) {
+			if (reply.path("others").isObject()) {
+				this.forwarder.observeOtherHosts(PeerMessages.decodeUsage(reply.path("others")),
+						reply.path("otherHosts").asInt());
+			}
 			updateRetiringModels(PeerMessages.decodeEngineModels(reply.path("retiring")));
 			updateLoadTimes(PeerMessages.decodeLoadTimes(reply.path("arriving")));
 			PeerMessages.findText(reply, "lease")
@@ -232,30 +251,21 @@
 	// Returns the total demand over this host and all hosts that send heartbeats to it.
 	Map<DemandMeter.Key, DemandMeter.Rate> totalDemand() {
 		Map<DemandMeter.Key, DemandMeter.Rate> total = new HashMap<>(this.demandMeter.rates());
-		removeSilentMembers();
-		for (Member member : this.members.values()) {
-			member.demand().forEach((key, rate) -> total.merge(key, rate, DemandMeter.Rate::plus));
-		}
+		this.members.addDemand(total);
 		return total;
 	}
 
 	// Returns the next host, in turn, that can relay calls to the store. Empty if this
 	// host neither holds the lease nor held it recently, or if no other host is known.
 	Optional<InetSocketAddress> nextRelayHost() {
-		removeSilentMembers();
-		if (!this.leadership.wasHolderRecently() || this.members.isEmpty()) {
+		List<String> memberAddresses = this.members.addresses();
+		if (!this.leadership.wasHolderRecently() || memberAddresses.isEmpty()) {
 			return Optional.empty();
 		}
-		List<String> memberAddresses = List.copyOf(this.members.keySet());
 		return Optional
 			.of(ServerEntryCodec.address(memberAddresses.get(this.nextRelayIndex++ % memberAddresses.size())));
 	}
 
-	private void removeSilentMembers() {
-		long now = System.nanoTime();
-		this.members.values().removeIf((member) -> now - member.lastSeenNanos() > MEMBER_TIMEOUT_NANOS);
-	}
-
 	@Override
 	public void load(BackendServerId engine, RequestMetadata.ModelName name, Consumer<Boolean> done) {
 		Consumer<Boolean> onLoaded = (isLoaded) -> {
@@ -295,7 +305,7 @@
 			JsonNode body = JsonHttpClient.MAPPER.readTree(bytes);
 			if (request.target().equals(HEARTBEAT_PATH)) {
 				int responseBytes = respond(channel, processHeartbeat(body));
-				this.heartbeatVolume.add(bytes.length, responseBytes, this.members.size());
+				this.heartbeatVolume.add(bytes.length, responseBytes, this.members.count());
 			}
 			else if (request.target().equals(ADAPTER_PATH)) {
 				processAdapterRequest(body, channel);
@@ -333,22 +343,18 @@
 		String sender = body.path("address").asText();
 		ServerEntryCodec.address(sender);
 		UsageTotals usage = PeerMessages.decodeUsage(body.path("usage"));
-		this.members.put(sender, new Member(usage, PeerMessages.decodeDemand(body.path("demand")), System.nanoTime()));
-		removeSilentMembers();
-		this.forwarder.observePeer(usage);
+		boolean isDemandKnown = this.members.recordHeartbeat(sender, body.path("isWholeDemand").asBoolean(),
+				PeerMessages.decodeDemand(body.path("demand")));
+		this.fleetUsage.record(usage);
 		ObjectNode reply = JsonHttpClient.MAPPER.createObjectNode();
 		reply.put("isHolder", this.leadership.isHolder());
 		if (this.leadership.isHolder()) {
 			reply.put("holder", this.address);
 			PeerMessages.decodeEngineModels(body.path("uses"))
 				.forEach((use) -> this.placementLoop.recordAdapterUse(use.engine(), use.model()));
-			ArrayNode usages = reply.putArray("usage");
-			usages.add(PeerMessages.encodeUsage(this.forwarder.usageTotals()));
-			this.members.forEach((address, member) -> {
-				if (!address.equals(sender)) {
-					usages.add(PeerMessages.encodeUsage(member.usage()));
-				}
-			});
+			reply.put("isDemandNeeded", !isDemandKnown);
+			reply.set("others", PeerMessages.encodeUsage(this.fleetUsage.sumWithout(usage.host())));
+			reply.put("otherHosts", this.members.count());
 			reply.set("retiring", PeerMessages.encodeEngineModels(retiringModels()));
 			reply.set("arriving", PeerMessages.encodeLoadTimes(this.placementLoop.remainingLoadTimes()));
 			this.leadership.lastWrittenRecord().ifPresent((record) -> reply.put("lease", record.toText()));
@@ -381,15 +387,4 @@
 		return IngressLimits.DEFAULTS;
 	}
 
-	/**
-	 * A host that sends heartbeats to this one.
-	 *
-	 * @param usage the usage that it reported last, not null
-	 * @param demand the demand that it reported last, not null
-	 * @param lastSeenNanos the arrival of its last heartbeat, as
-	 * {@link System#nanoTime()}
-	 */
-	private record Member(UsageTotals usage, Map<DemandMeter.Key, DemandMeter.Rate> demand, long lastSeenNanos) {
-	}
-
 }
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -168,11 +168,13 @@
 	}
 
 	/**
-	 * Updates the usage totals of another host.
-	 * @param totals the totals, not null
+	 * Updates the sum of the usage totals of the other hosts.
+	 * @param totals the sum, with the host and incarnation of the host that reports it,
+	 * not null
+	 * @param hosts the number of other hosts
 	 */
-	public void observePeer(UsageTotals totals) {
-		this.traffic.recordPeerUsage(totals, System.nanoTime());
+	public void observeOtherHosts(UsageTotals totals, int hosts) {
+		this.traffic.recordGroupUsage(totals, hosts, System.nanoTime());
 	}
 
 	/**
--- a/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
+++ b/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
@@ -201,6 +201,11 @@
 	public void recordPeerUsage(UsageTotals totals, long now) {
 	}
 
+	@Override
+	public void recordGroupUsage(UsageTotals totals, int daemons, long now) {
+		// No limits are shared with other daemons.
+	}
+
 	@Override
 	public List<String> explain(RequestId request) {
 		return List.of();
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -451,8 +451,16 @@
 
 	@Override
 	public void recordPeerUsage(UsageTotals totals, long now) {
-		this.usage.recordPeerTotals(totals, now,
-				(key, tokens) -> this.pools.values().forEach((pool) -> pool.queue.chargePeerUsage(key, tokens)));
+		this.usage.recordPeerTotals(totals, now, this::chargePeerUsage);
+	}
+
+	@Override
+	public void recordGroupUsage(UsageTotals totals, int daemons, long now) {
+		this.usage.recordGroupTotals(totals, daemons, now, this::chargePeerUsage);
+	}
+
+	private void chargePeerUsage(UsageTotals.Key key, double tokens) {
+		this.pools.values().forEach((pool) -> pool.queue.chargePeerUsage(key, tokens));
 	}
 
 	@Override
--- a/traffic/src/main/java/org/celeryhill/traffic/TrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/TrafficController.java
@@ -129,6 +129,17 @@
 	 */
 	void recordPeerUsage(UsageTotals totals, long now);
 
+	/**
+	 * Records the sum of the usage of several other daemons, as one daemon reports it.
+	 * Replaces {@link #recordPeerUsage} where the daemons are too many to report to each
+	 * other.
+	 * @param totals the sum; its host and incarnation are those of the reporting daemon,
+	 * not null
+	 * @param daemons the number of daemons in the sum, without this one
+	 * @param now the current time in nanoseconds
+	 */
+	void recordGroupUsage(UsageTotals totals, int daemons, long now);
+
 	/**
 	 * Returns the recorded decisions about a request, oldest first. Only a bounded number
 	 * of decisions is kept for all requests together.
--- a/traffic/src/main/java/org/celeryhill/traffic/UsageTracker.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/UsageTracker.java
@@ -55,6 +55,9 @@
 	/** Peers by host. */
 	private final Map<HostId, Peer> peers = new LinkedHashMap<>();
 
+	/** Peers that one of them reports as a sum, null if there is none. */
+	private Peer group;
+
 	/** Number of publications so far. */
 	private long sequence;
 
@@ -118,6 +121,29 @@
 		}
 	}
 
+	/**
+	 * Records the sum of the usage totals of several peers, which one daemon reports. A
+	 * sum that another daemon reports replaces it. The first totals of a reporting daemon
+	 * are not charged. Repeated and outdated totals are ignored.
+	 * @param next the sum; its host and incarnation are those of the reporting daemon
+	 * @param daemons the number of peers in the sum
+	 * @param now the current time in nanoseconds
+	 * @param charge called with each organisation and class and the tokens added since
+	 * the previous totals
+	 */
+	void recordGroupTotals(UsageTotals next, int daemons, long now, ObjDoubleConsumer<UsageTotals.Key> charge) {
+		if (this.group == null) {
+			this.group = new Peer();
+		}
+		UsageTotals latest = this.group.latest;
+		boolean isSameReporter = latest != null && latest.host().equals(next.host())
+				&& latest.incarnation().equals(next.incarnation());
+		if (!isSameReporter || next.sequence() > latest.sequence()) {
+			this.group.daemons = daemons;
+			this.group.update(next, now, isSameReporter, charge);
+		}
+	}
+
 	/**
 	 * Drops outdated peers and returns the fraction of every limit that this daemon is
 	 * entitled to.
@@ -126,14 +152,21 @@
 	 * @return the fraction, at least a quarter of an even split, between 0 and 1
 	 */
 	double share(ToDoubleFunction<OrganisationId> weight, long now) {
-		this.peers.values().removeIf((peer) -> now - peer.receivedNanos > this.maxAgeNanos);
-		if (this.peers.isEmpty()) {
+		dropOutdatedPeers(now);
+		int peerDaemons = peerCount();
+		if (peerDaemons == 0) {
 			return 1;
 		}
 		Map<OrganisationId, double[]> sums = new LinkedHashMap<>();
-		addRates(this.ownRates, sums, now, true);
+		addRates(this.ownRates, sums, now, 1);
+		for (Map.Entry<OrganisationId, double[]> own : sums.entrySet()) {
+			own.getValue()[0] = own.getValue()[1];
+		}
 		for (Peer peer : this.peers.values()) {
-			addRates(peer.rates, sums, now, false);
+			addRates(peer.rates, sums, now, peer.daemons);
+		}
+		if (this.group != null) {
+			addRates(this.group.rates, sums, now, this.group.daemons);
 		}
 		double weights = 0;
 		double weightedShare = 0;
@@ -145,31 +178,38 @@
 				weightedShare += organisationWeight * ((1 - EVEN_FRACTION) * sum[0] / sum[1] + EVEN_FRACTION / sum[2]);
 			}
 		}
-		double evenShare = 1.0 / (this.peers.size() + 1);
+		double evenShare = 1.0 / (peerDaemons + 1);
 		return (weights > 0) ? Math.max(0.25 * evenShare, weightedShare / weights) : evenShare;
 	}
 
-	// Adds the rates of a daemon to the sums of each active organisation: the rate
+	private void dropOutdatedPeers(long now) {
+		this.peers.values().removeIf((peer) -> now - peer.receivedNanos > this.maxAgeNanos);
+		if (this.group != null && now - this.group.receivedNanos > this.maxAgeNanos) {
+			this.group = null;
+		}
+	}
+
+	// Adds the rates of some daemons to the sums of each active organisation: the rate
 	// through this daemon, the rate through all daemons and the number of daemons.
 	private static void addRates(Map<OrganisationId, RateEstimate> rates, Map<OrganisationId, double[]> sums, long now,
-			boolean isOwn) {
+			int daemons) {
 		for (Map.Entry<OrganisationId, RateEstimate> entry : rates.entrySet()) {
 			double rate = entry.getValue().perSecond(now);
 			if (rate > MIN_ACTIVE_TOKENS_PER_SECOND) {
 				double[] sum = sums.computeIfAbsent(entry.getKey(), (id) -> new double[3]);
-				sum[0] += isOwn ? rate : 0;
 				sum[1] += rate;
-				sum[2]++;
+				sum[2] += daemons;
 			}
 		}
 	}
 
 	/**
-	 * Returns the number of peers that are not outdated.
+	 * Returns the number of peers that were not outdated at the latest call of
+	 * {@link #share}.
 	 * @return the number
 	 */
 	int peerCount() {
-		return this.peers.size();
+		return this.peers.size() + ((this.group != null) ? this.group.daemons : 0);
 	}
 
 	private static final class Peer {
@@ -180,6 +220,9 @@
 		/** When the latest totals arrived, in nanoseconds. */
 		private long receivedNanos;
 
+		/** Number of daemons whose usage the totals contain. */
+		private int daemons = 1;
+
 		/** Usage rates by organisation. */
 		private final Map<OrganisationId, RateEstimate> rates = new LinkedHashMap<>();
 
