Relay a refused call to the store through other hosts in turn

Change: a call that is refused quickly goes through up to four hosts in turn; the host that relayed last is used first; only then the pause of a second begins. Each failed relay has a line, store_relay_failed.

--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -39,8 +39,14 @@
 	private static final long RELAYING_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(10);
 
 	/**
-	 * Time for which no call is relayed after a relayed call has failed, as the store may
-	 * be down.
+	 * Number of hosts that a call is relayed through in turn while the store refuses it,
+	 * as the store may refuse the calls of some of the hosts.
+	 */
+	private static final int MAX_RELAYS = 4;
+
+	/**
+	 * Time for which no call is relayed after all relays of a call have failed, as the
+	 * store may be down.
 	 */
 	private static final long RELAY_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -55,6 +61,8 @@
 
 	private Supplier<Optional<InetSocketAddress>> hosts = Optional::empty;
 
+	private Optional<InetSocketAddress> lastRelayHost = Optional.empty();
+
 	private boolean isRelaying;
 
 	private long relayingSinceNanos;
@@ -124,6 +132,8 @@
 
 		private Optional<CompletableFuture<JsonHttpClient.Response>> relayedReply = Optional.empty();
 
+		private int relayCount;
+
 		Attempt(JsonHttpClient.Call call) {
 			this.call = call;
 		}
@@ -146,39 +156,63 @@
 		boolean sendRelayed() {
 			boolean isBackingOff = StoreRelay.this.hasRelayFailed
 					&& System.nanoTime() - StoreRelay.this.relayFailedNanos < RELAY_BACKOFF_NANOS;
-			Optional<InetSocketAddress> host = isBackingOff ? Optional.empty() : StoreRelay.this.hosts.get();
-			if (this.result.isDone() || this.relayedReply.isPresent() || host.isEmpty()) {
+			return !isBackingOff && !this.result.isDone() && this.relayedReply.isEmpty() && sendThroughNextHost();
+		}
+
+		// Sends the call through the host that relayed one last, else through the next
+		// one. Returns whether there was such a host.
+		private boolean sendThroughNextHost() {
+			Optional<InetSocketAddress> host = StoreRelay.this.hosts.get()
+				.map((next) -> StoreRelay.this.lastRelayHost.orElse(next));
+			if (host.isEmpty()) {
 				return false;
 			}
+			this.relayCount++;
 			ObjectNode body = JsonHttpClient.MAPPER.createObjectNode()
 				.put("method", this.call.method())
 				.put("target", this.call.target())
 				.put("timeoutMs", this.call.timeout().toMillis());
 			this.call.body().ifPresent((content) -> body.set("body", content));
+			long sentNanos = System.nanoTime();
 			CompletableFuture<JsonHttpClient.Response> sent = StoreRelay.this.calls
 				.send(new JsonHttpClient.Call(host.get(), "peer", "POST", PATH, Map.of(), Optional.of(body),
 						this.call.timeout().plus(RELAY_HOP_TIME)))
 				.thenApply((reply) -> new JsonHttpClient.Response(reply.body().path("status").asInt(reply.status()),
 						reply.body().path("body")));
 			this.relayedReply = Optional.of(sent);
-			sent.whenComplete((reply, failure) -> handleRelayedReply(host.get(), reply, failure));
+			sent.whenComplete((reply, failure) -> {
+				if (failure == null && isAccepted(reply) && reply.status() != HttpResponseStatus.BAD_GATEWAY.code()) {
+					handleRelayed(host.get(), reply);
+				}
+				else {
+					handleRelayFailure(host.get(), sentNanos, (failure != null) ? failure : reply.status());
+				}
+			});
 			return true;
 		}
 
-		private void handleRelayedReply(InetSocketAddress host, JsonHttpClient.Response reply, Throwable failure) {
-			boolean isSuccess = failure == null && isAccepted(reply)
-					&& reply.status() != HttpResponseStatus.BAD_GATEWAY.code();
-			StoreRelay.this.hasRelayFailed = !isSuccess;
-			StoreRelay.this.relayFailedNanos = System.nanoTime();
-			if (isSuccess) {
-				if (!StoreRelay.this.isRelaying) {
-					LOG.warn("store_relayed", "host", host, "target", this.call.target());
-					StoreRelay.this.isRelaying = true;
-					StoreRelay.this.relayingSinceNanos = System.nanoTime();
-				}
-				this.result.complete(reply);
+		private void handleRelayed(InetSocketAddress host, JsonHttpClient.Response reply) {
+			StoreRelay.this.hasRelayFailed = false;
+			StoreRelay.this.lastRelayHost = Optional.of(host);
+			if (!StoreRelay.this.isRelaying) {
+				LOG.warn("store_relayed", "host", host, "target", this.call.target());
+				StoreRelay.this.isRelaying = true;
+				StoreRelay.this.relayingSinceNanos = System.nanoTime();
 			}
-			else if (this.directReply.isEmpty()) {
+			this.result.complete(reply);
+		}
+
+		private void handleRelayFailure(InetSocketAddress host, long sentNanos, Object cause) {
+			LOG.info("store_relay_failed", "host", host, "target", this.call.target(), "relays", this.relayCount,
+					"cause", cause);
+			StoreRelay.this.lastRelayHost = Optional.empty();
+			boolean isEarly = System.nanoTime() - sentNanos < RELAY_DELAY.toNanos();
+			if (isEarly && this.relayCount < MAX_RELAYS && !this.result.isDone() && sendThroughNextHost()) {
+				return;
+			}
+			StoreRelay.this.hasRelayFailed = true;
+			StoreRelay.this.relayFailedNanos = System.nanoTime();
+			if (this.directReply.isEmpty()) {
 				StoreRelay.this.isRelaying = false;
 				sendDirect();
 			}
