Readmit suspect backend servers when their time is over

Cause: a suspect server was looked at again only when a new state of it arrived. On the platform an entry is passed on only when it changes, and a server without requests sends no load. An engine whose models and adapters stay the same was left out for good by a host that had failed there twice. Class of the fault: a belief with an end that only another event ends. Change: each dispatch readmits the servers whose time is over and unblocks their queues; a removed server does not become suspect.

--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -226,6 +226,7 @@
 		expire(now, actions);
 		updateShare(now);
 		for (ServicePool pool : this.pools.values()) {
+			pool.readmitDue(now).forEach((backend) -> unblockIfUsable(pool, backend, now));
 			dispatch(pool, now, actions);
 		}
 		sendHedges(now, actions);
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -63,6 +64,9 @@
 	/** Hash of the host of this daemon, which selects its subset of backend servers. */
 	private final long hostHash;
 
+	/** Suspect backend servers. */
+	private final Set<BackendState> suspects = new LinkedHashSet<>();
+
 	/** Receives the begin and end of each suspicion. */
 	private final AvailabilityListener availabilityListener;
 
@@ -225,6 +229,7 @@
 		boolean wasSuspect = backend.isSuspect;
 		if (wasSuspect && backend.isAcceptingWork && now >= backend.suspectUntilNanos) {
 			backend.isSuspect = false;
+			this.suspects.remove(backend);
 			this.availabilityListener.onReadmitted(backend.id);
 		}
 		if (isRecovered || wasSuspect != backend.isSuspect) {
@@ -233,6 +238,22 @@
 		return wasSuspect != backend.isSuspect;
 	}
 
+	/**
+	 * Readmits the suspect backend servers whose time is over.
+	 * @param now the current time in nanoseconds
+	 * @return the readmitted backend servers
+	 */
+	List<BackendState> readmitDue(long now) {
+		List<BackendState> readmitted = new ArrayList<>();
+		for (BackendState backend : List.copyOf(this.suspects)) {
+			if (readmitIfDue(backend, now, false)) {
+				updateReadyBackends(backend, Set.of());
+				readmitted.add(backend);
+			}
+		}
+		return readmitted;
+	}
+
 	private void updateReadyBackends(BackendState backend, Set<ModelId> readyBefore) {
 		for (ModelId model : readyBefore) {
 			setReadyBackend(model, backend, backend.isReady(model));
@@ -265,10 +286,14 @@
 	 * @param now the current time in nanoseconds
 	 */
 	void markSuspect(BackendState backend, long now) {
+		if (backend.isRemoved) {
+			return;
+		}
 		int doublings = Math.min(4, backend.consecutiveFailures - 1);
 		Duration duration = this.tunables.suspectDuration().multipliedBy(1L << doublings);
 		backend.suspectUntilNanos = now + duration.toNanos();
 		backend.isSuspect = true;
+		this.suspects.add(backend);
 		this.availabilityListener.onSuspected(backend.id, backend.consecutiveFailures, duration);
 		updateReadyBackends(backend, Set.of());
 	}
@@ -283,6 +308,7 @@
 			return;
 		}
 		backend.isRemoved = true;
+		this.suspects.remove(backend);
 		for (ModelId model : backend.ready()) {
 			setReadyBackend(model, backend, false);
 		}
