Compress the rows that the lease holder passes on

Cause: with the smaller heartbeats the rows of backend servers are the largest part of the holder's traffic: each load of an adapter changes a row of some 700 bytes, which goes to all hosts in base64. 5.6 Mbit/s on a link that may carry 7. Change: the rows of a response are compressed (RowArchive), once for all hosts that know the same version.

--- a/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -113,25 +112,8 @@
 			.put("adapter", adapter);
 	}
 
-	static void encodeRows(ObjectNode node, StoreClient.Rows found) {
-		node.put("version", found.version());
-		ArrayNode list = node.putArray("rows");
-		for (StoreClient.StoredRow row : found.rows()) {
-			list.addObject()
-				.put("key", row.key())
-				.put("version", row.version())
-				.put("isDeleted", row.isDeleted())
-				.put("value", row.value());
-		}
-	}
-
 	static StoreClient.Rows decodeRows(JsonNode node) {
-		List<StoreClient.StoredRow> rows = new ArrayList<>();
-		for (JsonNode row : node.path("rows")) {
-			rows.add(new StoreClient.StoredRow(row.path("key").asText(),
-					Base64.getDecoder().decode(row.path("value").asText()), row.path("version").asLong(),
-					row.path("isDeleted").asBoolean()));
-		}
+		List<StoreClient.StoredRow> rows = findText(node, "rows").map(RowArchive::decode).orElse(List.of());
 		return new StoreClient.Rows(rows, node.path("version").asLong());
 	}
 
--- a/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
@@ -42,6 +42,10 @@
 
 	private final StoreFeed serverFeed;
 
+	private RowRange encodedRange;
+
+	private String encodedRows;
+
 	private boolean hasHolderRows;
 
 	private long holderRowsNanos;
@@ -101,10 +105,25 @@
 		node.put("ageMs", TimeUnit.NANOSECONDS.toMillis(now - currentAsOfNanos));
 		node.put("regainedMs", this.hosts.millisSinceRegained());
 		node.put("isWhole", isFullTable);
-		PeerMessages.encodeRows(node, this.serverFeed.changesAfter(isFullTable ? -1 : version));
+		StoreClient.Rows changes = this.serverFeed.changesAfter(isFullTable ? -1 : version);
+		node.put("version", changes.version());
+		if (!changes.rows().isEmpty()) {
+			node.put("rows", encodeRows(changes));
+		}
 		return Optional.of(node);
 	}
 
+	// Encodes rows, or returns the text for the same rows again. Most hosts know the same
+	// version.
+	private String encodeRows(StoreClient.Rows changes) {
+		RowRange range = new RowRange(changes.rows().get(0).version(), changes.rows().size(), changes.version());
+		if (!range.equals(this.encodedRange)) {
+			this.encodedRange = range;
+			this.encodedRows = RowArchive.encode(changes.rows());
+		}
+		return this.encodedRows;
+	}
+
 	// Applies the rows from the response of the holder to a heartbeat sent at a time.
 	void applyHolderRows(JsonNode node, long sentNanos) {
 		this.hosts.regained(node.path("regainedMs").asLong());
@@ -116,4 +135,14 @@
 		}
 	}
 
+	/**
+	 * Identifies the rows that changed between two versions.
+	 *
+	 * @param firstVersion the version of the earliest changed row
+	 * @param count the number of changed rows
+	 * @param version the version up to which the rows are known
+	 */
+	private record RowRange(long firstVersion, int count, long version) {
+	}
+
 }
--- a/edge/src/test/java/org/celeryhill/edge/HeartbeatVolumeTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/HeartbeatVolumeTests.java
@@ -24,6 +24,7 @@
 import org.celeryhill.forward.RevisionMapping;
 import org.celeryhill.platform.FakePlatformService;
 import org.celeryhill.platform.JsonHttpClient;
+import org.celeryhill.platform.PlatformTables;
 import org.celeryhill.platform.StoreClient;
 import org.celeryhill.platform.StoreTableService;
 import org.celeryhill.platform.TestEventLoop;
@@ -56,6 +57,14 @@
 
 	private static final int HOSTS = 88;
 
+	private static final double HEARTBEATS_PER_SECOND = 1 / 0.3;
+
+	private static final double LINK_BITS_PER_SECOND = 7e6;
+
+	private static final int ENGINES = 42;
+
+	private static final int CHANGED_ROWS = 6;
+
 	private static final int MODELS = 60;
 
 	private DaemonFixture fixture;
@@ -89,11 +98,70 @@
 		assertThat(response.length()).isLessThan(MAX_BYTES);
 	}
 
+	// Guards against a holder whose link is saturated by the rows that it passes on, as
+	// each
+	// load of an adapter changes the row of an engine and each row goes to all hosts.
+	@Test
+	void responseWithChangedRowsFitsLink() throws Exception {
+		EdgeSettings settings = this.fixture.settings("h0");
+		putEngineRows(ENGINES, 0);
+		this.fixture.start(settings);
+		DaemonFixture.awaitReady(settings);
+		long version = awaitRows(settings, ENGINES);
+		putEngineRows(CHANGED_ROWS, 1);
+		String response = "";
+		long end = System.nanoTime() + 5_000_000_000L;
+		while (rowCount(response) < CHANGED_ROWS && System.nanoTime() < end) {
+			response = sendHeartbeat(settings.peer, 1, 1, version);
+		}
+		assertThat(rowCount(response)).isEqualTo(CHANGED_ROWS);
+		assertThat(HOSTS * HEARTBEATS_PER_SECOND * response.length() * 8).isLessThan(LINK_BITS_PER_SECOND / 2);
+	}
+
+	private void putEngineRows(int count, int adapter) {
+		for (int i = 0; i < count; i++) {
+			StringBuilder adapters = new StringBuilder();
+			for (int j = 0; j < 8; j++) {
+				adapters.append((j > 0) ? "," : "").append("\"a").append(i + j + adapter).append('"');
+			}
+			this.fixture.store.put(PlatformTables.BACKEND_SERVERS_TABLE,
+					"i-" + Integer.toHexString(i * 7919 + 1_000_000),
+					("{'service':'s','address':'10.1.64." + i + ":8583','zone':'bc-lower-a','version':1,'slots':64,"
+							+ "'state':'ready','cold_remaining_ms':0,'sequence':" + (3 + adapter)
+							+ ",'born':1775435849361,'models':[{'name':'gole" + i + "12056','version':1,'adapters':["
+							+ adapters.toString().replace('"', '\'') + "]},{'name':'bora" + i
+							+ "84665','version':1,'adapters':[]}],'available':{'in_memory':['huvo85962a','goxa90889d'],"
+							+ "'on_disk':['lolo29b468','lozi20c387','mika892612','boti275584']}}")
+						.replace('\'', '"'));
+		}
+	}
+
+	private static long awaitRows(EdgeSettings settings, int count) throws Exception {
+		long end = System.nanoTime() + 5_000_000_000L;
+		while (System.nanoTime() < end) {
+			String response = sendHeartbeat(settings.peer, 1, 1, -1);
+			if (rowCount(response) == count) {
+				return JsonHttpClient.MAPPER.readTree(response).path("store").path("version").asLong();
+			}
+			Thread.sleep(20);
+		}
+		throw new AssertionError("the holder does not know the rows");
+	}
+
+	private static int rowCount(String response) throws IOException {
+		JsonNode store = JsonHttpClient.MAPPER.readTree(response.isEmpty() ? "{}" : response).path("store");
+		return store.isObject() ? PeerMessages.decodeRows(store).rows().size() : 0;
+	}
+
 	private static String sendHeartbeat(String address, int number, int round) throws IOException {
+		return sendHeartbeat(address, number, round, Integer.MAX_VALUE);
+	}
+
+	private static String sendHeartbeat(String address, int number, int round, long serverVersion) throws IOException {
 		ObjectNode body = JsonHttpClient.MAPPER.createObjectNode();
 		body.put("address", "10.0.0." + number + ":8580");
 		body.put("version", 3);
-		body.put("servers", Integer.MAX_VALUE);
+		body.put("servers", serverVersion);
 		body.set("usage", PeerMessages.encodeUsage(new UsageTotals(HostId.of("edge-host-" + number),
 				DataCentre.of("here"), "00112233", round + 1,
 				Map.of(new UsageTotals.Key(RevisionMapping.ORGANISATION, PriorityClass.NORMAL), 100_000L * round))));
