Read a new configuration from the store instead of sending it to all hosts

Change: the response names the version; a host that is behind reads the operator's table from the store, and asks the holder for the document only if the store has not returned it within 300 ms. The path of heartbeats is new, so that hosts of both kinds do not misread each other during a replacement: the other kind's heartbeats fail, and each host polls the store itself. One more call to the store for each host and version. Conclusion: the holder's link no longer carries configurations, but for hosts that the store refuses.

--- a/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
+++ b/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.Finding;
@@ -22,10 +23,20 @@
 
 	private static final EventLog LOG = EventLog.of(ConfigurationHolder.class);
 
+	/**
+	 * Time for which the store may take to return a newer configuration before another
+	 * host is asked for it.
+	 */
+	private static final long MAX_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	private final Forwarder forwarder;
 
 	private byte[] document = {};
 
+	private long announcedVersion;
+
+	private long announcedNanos;
+
 	ConfigurationHolder(Forwarder forwarder) {
 		this.forwarder = forwarder;
 	}
@@ -47,6 +58,30 @@
 		}
 	}
 
+	// Records the version that another host applies.
+	void recordAnnounced(long version) {
+		if (version > this.announcedVersion) {
+			this.announcedVersion = version;
+			this.announcedNanos = System.nanoTime();
+		}
+	}
+
+	// Returns whether another host applies a newer configuration, which has to be read
+	// from
+	// the store.
+	boolean isBehind() {
+		return this.announcedVersion > version();
+	}
+
+	// Returns whether another host has to send its configuration, as this one cannot read
+	// it from the store.
+	boolean isDocumentNeeded(boolean isStoreLost) {
+		if (version() == 0 && isStoreLost) {
+			return true;
+		}
+		return isBehind() && System.nanoTime() - this.announcedNanos > MAX_READ_NANOS;
+	}
+
 	long version() {
 		return this.forwarder.table().map(RoutingTable::version).orElse(0L);
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -51,7 +51,7 @@
 
 	private static final EventLog LOG = EventLog.of(PeerService.class);
 
-	private static final String HEARTBEAT_PATH = "/beat";
+	private static final String HEARTBEAT_PATH = "/heartbeat";
 
 	private static final String ADAPTER_PATH = "/adapter";
 
@@ -168,6 +168,7 @@
 		ObjectNode body = JsonHttpClient.MAPPER.createObjectNode();
 		body.put("address", this.address);
 		body.put("version", this.configuration.version());
+		body.put("needsConfiguration", this.configuration.isDocumentNeeded(this.storeFollower.isOperatorTableLost()));
 		body.put("servers", this.storeFollower.serverVersion());
 		body.set("usage", PeerMessages.encodeUsage(this.forwarder.usageTotals()));
 		body.put("isWholeDemand", !this.demandMeter.isInformed(target));
@@ -202,6 +203,7 @@
 			.ifPresent((holder) -> this.holderHint = Optional.of(ServerEntryCodec.address(holder)));
 		PeerMessages.findText(reply, "configuration")
 			.ifPresent((text) -> this.configuration.applyIfNewer(Base64.getDecoder().decode(text), "peer"));
+		this.configuration.recordAnnounced(reply.path("configurationVersion").asLong());
 		if (!reply.path("isHolder").asBoolean() || reply.path("isDemandNeeded").asBoolean()) {
 			this.demandMeter.forgetInformedHost();
 		}
@@ -364,7 +366,9 @@
 		else {
 			this.leadership.holder().ifPresent((holder) -> reply.put("holder", ServerEntryCodec.formatAddress(holder)));
 		}
-		if (this.configuration.version() > body.path("version").asLong()) {
+		reply.put("configurationVersion", this.configuration.version());
+		boolean isNewer = this.configuration.version() > body.path("version").asLong();
+		if (isNewer && body.path("needsConfiguration").asBoolean()) {
 			reply.put("configuration", Base64.getEncoder().encodeToString(this.configuration.document()));
 		}
 		return reply;
--- a/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
@@ -38,6 +38,8 @@
 
 	private final HostListFollower hosts;
 
+	private final ConfigurationHolder configuration;
+
 	private final StoreFeed operatorFeed;
 
 	private final StoreFeed serverFeed;
@@ -50,8 +52,10 @@
 
 	private long holderRowsNanos;
 
-	private StoreFollower(HostListFollower hosts, StoreFeed operatorFeed, StoreFeed serverFeed) {
+	private StoreFollower(HostListFollower hosts, ConfigurationHolder configuration, StoreFeed operatorFeed,
+			StoreFeed serverFeed) {
 		this.hosts = hosts;
+		this.configuration = configuration;
 		this.operatorFeed = operatorFeed;
 		this.serverFeed = serverFeed;
 	}
@@ -59,7 +63,8 @@
 	static StoreFollower create(StoreClient store, EventLoop loop, ConfigurationHolder configuration,
 			ServerDirectory directory) {
 		HostListFollower hosts = new HostListFollower(loop, directory);
-		return new StoreFollower(hosts, StoreFeed.create(store, loop, PlatformTables.OPERATOR_TABLE, configuration),
+		return new StoreFollower(hosts, configuration,
+				StoreFeed.create(store, loop, PlatformTables.OPERATOR_TABLE, configuration),
 				StoreFeed.create(store, loop, PlatformTables.BACKEND_SERVERS_TABLE, hosts));
 	}
 
@@ -69,7 +74,7 @@
 		this.pauseDetector.checkForPause();
 		boolean isRecent = this.hasHolderRows && now - this.holderRowsNanos < MAX_AGE_NANOS
 				&& this.pauseDetector.isAfterPause(this.holderRowsNanos);
-		updateFeed(this.operatorFeed, isHolder, isRecent);
+		updateFeed(this.operatorFeed, isHolder, isRecent && !this.configuration.isBehind());
 		updateFeed(this.serverFeed, isHolder, isRecent);
 	}
 
@@ -83,6 +88,11 @@
 		}
 	}
 
+	// Returns whether the latest call for the operator's table failed.
+	boolean isOperatorTableLost() {
+		return this.operatorFeed.isStoreUnavailable();
+	}
+
 	// Returns the version up to which this host knows the rows of backend servers.
 	long serverVersion() {
 		return this.serverFeed.version();
--- a/edge/src/test/java/org/celeryhill/edge/HeartbeatVolumeTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/HeartbeatVolumeTests.java
@@ -166,11 +166,29 @@
 				DataCentre.of("here"), "00112233", round + 1,
 				Map.of(new UsageTotals.Key(RevisionMapping.ORGANISATION, PriorityClass.NORMAL), 100_000L * round))));
 		String text = body.toString();
-		String response = DaemonFixture.exchange(address, "POST /beat HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+		String response = DaemonFixture.exchange(address, "POST /heartbeat HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
 				+ "Content-Length: " + text.length() + "\r\n\r\n" + text);
 		return response.substring(response.indexOf("\r\n\r\n") + 4);
 	}
 
+	// Guards against a holder whose link is saturated by a new configuration that it
+	// sends
+	// to all hosts at once, though they can read it from the store.
+	@Test
+	void responseAnnouncesConfigurationOnly() throws Exception {
+		EdgeSettings settings = this.fixture.settings("h0");
+		this.fixture.start(settings);
+		DaemonFixture.awaitReady(settings);
+		this.fixture.storeConfiguration(4, "/" + "p".repeat(MAX_BYTES) + "/");
+		JsonNode response = JsonHttpClient.MAPPER.createObjectNode();
+		long end = System.nanoTime() + 5_000_000_000L;
+		while (response.path("configurationVersion").asLong() < 4 && System.nanoTime() < end) {
+			response = JsonHttpClient.MAPPER.readTree(sendHeartbeat(settings.peer, 1, 1));
+		}
+		assertThat(response.path("configurationVersion").asLong()).isEqualTo(4);
+		assertThat(response.toString().length()).isLessThan(MAX_BYTES);
+	}
+
 	// Guards against hosts that saturate the link of the lease holder, as they repeat the
 	// demand for all models in each heartbeat.
 	@Test
--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -94,8 +94,44 @@
 		assertThat(System.nanoTime() - since).isLessThan(2_000_000_000L);
 	}
 
+	// Guards against a host that never applies a configuration that it was told of, as it
+	// does not poll the store while the holder passes on rows.
+	@Test
+	void readsAnnouncedConfigurationFromStore() throws Exception {
+		this.fixture.store.put(PlatformTables.OPERATOR_TABLE, PlatformTables.CONFIGURATION,
+				FakePlatformService.configuration(3, "s", "/p/"));
+		this.fixture.runUntil("both know the configuration", this::tickBoth,
+				() -> this.holder.configuration.version() == 3 && this.other.configuration.version() == 3);
+		this.fixture.runUntil("other host has rows of the holder", () -> {
+			tickBoth();
+			exchangeHeartbeat();
+		}, () -> this.other.knows("i-1"));
+		this.fixture.store.put(PlatformTables.OPERATOR_TABLE, PlatformTables.CONFIGURATION,
+				FakePlatformService.configuration(4, "s", "/q/"));
+		this.fixture.runUntil("other host reads the announced configuration", () -> {
+			this.holder.follower.tick(true);
+			exchangeHeartbeat();
+			this.other.configuration.recordAnnounced(this.holder.configuration.version());
+			this.other.follower.tick(false);
+		}, () -> this.other.configuration.version() == 4);
+		assertThat(this.other.configuration.isBehind()).isFalse();
+	}
+
+	// Guards against a host that stays behind while the store refuses its calls, and
+	// against hosts that ask the holder before they have asked the store.
+	@Test
+	void asksForDocumentOnlyWhenStoreDoesNotReturnIt() throws Exception {
+		this.other.configuration.recordAnnounced(5);
+		assertThat(this.other.configuration.isBehind()).isTrue();
+		assertThat(this.other.configuration.isDocumentNeeded(false)).isFalse();
+		Thread.sleep(400);
+		assertThat(this.other.configuration.isDocumentNeeded(false)).isTrue();
+	}
+
 	private final class Host {
 
+		private final ConfigurationHolder configuration;
+
 		private final Forwarder forwarder;
 
 		private final StoreFollower follower;
@@ -106,8 +142,9 @@
 					new PlatformHeaderCodec(), DefaultTrafficController.create(HostId.of("h"), DataCentre.of("d"),
 							"life", 1, EdgeDaemon.trafficTunables(0.2)),
 					new EdgeMetrics());
+			this.configuration = new ConfigurationHolder(this.forwarder);
 			this.follower = StoreFollower.create(StoreClient.create(fixture.loop.httpClient(), fixture.store.address()),
-					fixture.loop.loop(), new ConfigurationHolder(this.forwarder), this.forwarder.directory());
+					fixture.loop.loop(), this.configuration, this.forwarder.directory());
 		}
 
 		private boolean knows(String server) {
