Bound the least gain of a placement step by the mean of an engine

Both grow with the fleet. With 42 engines a rarely requested model had to wait for over 15 s before its gain was enough, longer than its callers do. Class of the fault: a bound on one part that is relative to the sum over all parts. Change: the least gain is at most 0.12 of the mean value of an engine, the value of a model never asked for at most three times the mean of a model (both as before up to 12 engines and 20 models); a first replica for waiting requests needs no least gain.

--- a/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
+++ b/placement/src/main/java/org/celeryhill/placement/SwapPlanner.java
@@ -24,6 +24,12 @@
 	/** Fraction of the total requested value that a step must gain. */
 	private static final double MIN_GAIN_RATIO = 0.01;
 
+	/**
+	 * Fraction of the mean requested value of an engine that a step must gain at most, so
+	 * that the least gain does not grow with the number of engines.
+	 */
+	private static final double MIN_GAIN_ENGINE_RATIO = 0.12;
+
 	/**
 	 * Factor on the loss of an unload, as the model may have to be loaded again.
 	 */
@@ -49,6 +55,12 @@
 	/** Fraction of the total value assumed for a model that was never requested. */
 	private static final double UNSEEN_DEMAND_RATIO = 0.15;
 
+	/**
+	 * Multiple of the mean value of a model that is assumed at most for a model that was
+	 * never requested, so that it does not grow with the number of models.
+	 */
+	private static final double UNSEEN_DEMAND_MODELS = 3;
+
 	/**
 	 * Fraction of the idle value that is lost by unloading the only replica if another
 	 * engine caches the weights.
@@ -323,9 +335,10 @@
 				}
 				gain -= LOSS_FACTOR * lossOfRemoving(this.models.get(victim.get()), engine);
 			}
-			boolean isFirstInFreeMemory = victim.isEmpty() && ready(model.id()) == 0
-					&& !this.secondsUntilReady.containsKey(model.id());
-			double minGain = isFirstInFreeMemory ? 0 : this.totalValue * MIN_GAIN_RATIO;
+			// Requests that wait for a first replica are no noise, and free memory costs
+			// nothing.
+			boolean isFirst = ready(model.id()) == 0 && !this.secondsUntilReady.containsKey(model.id());
+			double minGain = (isFirst && (victim.isEmpty() || model.valuePerSecond() > 0)) ? 0 : minGain();
 			return (gain > minGain) ? Optional.of(new Step(engine.id(), model.id(), victim, isCold, gain))
 					: Optional.empty();
 		}
@@ -361,6 +374,11 @@
 					: Obstacle.LOW_GAIN;
 		}
 
+		// Returns the gain below which a step may be due to noise in the measured demand.
+		private double minGain() {
+			return Math.min(MIN_GAIN_RATIO, MIN_GAIN_ENGINE_RATIO / this.engines.size()) * this.totalValue;
+		}
+
 		private Optional<ModelId> findVictim(EngineInput engine, long missingBytes) {
 			ModelId best = null;
 			for (ModelId candidate : engine.removable()) {
@@ -393,7 +411,7 @@
 		// An idle model has value as demand may return, and loading it takes seconds.
 		private double idleValue(ModelInput model) {
 			double value = (model.peakValuePerSecond() > 0) ? model.peakValuePerSecond()
-					: UNSEEN_DEMAND_RATIO * this.totalValue;
+					: Math.min(UNSEEN_DEMAND_RATIO, UNSEEN_DEMAND_MODELS / this.models.size()) * this.totalValue;
 			return IDLE_VALUE_PER_SECOND + RETURNING_DEMAND_RATIO * value;
 		}
 
--- a/placement/src/test/java/org/celeryhill/placement/SwapPlannerFleetTests.java
+++ b/placement/src/test/java/org/celeryhill/placement/SwapPlannerFleetTests.java
@@ -93,11 +93,12 @@
 	private static List<SimulatedSwapFleet.Model> addModels(SimulatedSwapFleet fleet, String prefix, int count) {
 		List<SimulatedSwapFleet.Model> models = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
-			models.add(switch (i % 4) {
+			SimulatedSwapFleet.Model model = switch (i % 4) {
 				case 0, 1 -> fleet.addModel(prefix + i, 72 * GB, 1.7, 8.6);
 				case 2 -> fleet.addModel(prefix + i, 65 * GB, 1.6, 7.8);
 				default -> fleet.addModel(prefix + i, 42 * GB, 1.2, 5);
-			});
+			};
+			models.add(model);
 		}
 		return models;
 	}
