--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -24,6 +24,9 @@
 
 	private static final long DEFAULT_KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+	/** Interim responses of one exchange after which the server is given up. */
+	private static final int MAX_INTERIM_RESPONSES = 16;
+
 	private final BackendClient client;
 
 	private final BackendClient.PoolKey key;
@@ -38,6 +41,8 @@
 
 	private boolean isInformational;
 
+	private int interimCount;
+
 	private boolean isDelimitedByClose;
 
 	private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
@@ -61,6 +66,7 @@
 	void startExchange(BackendClient.Exchange next) {
 		this.exchange = next;
 		this.isDelimitedByClose = false;
+		this.interimCount = 0;
 		this.writeFuture = this.context.writeAndFlush(next.startWrite(this.context.channel()));
 	}
 
@@ -95,6 +101,10 @@
 		if (message instanceof HttpResponse head) {
 			this.isInformational = head.status().code() / 100 == 1;
 			if (this.isInformational) {
+				this.interimCount++;
+				if (this.interimCount > MAX_INTERIM_RESPONSES) {
+					failExchange("too many interim responses");
+				}
 				return;
 			}
 			this.isKeepAlive = HttpUtil.isKeepAlive(head);
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -134,7 +134,7 @@
 
 	@Override
 	public void onBody(ByteBuf bytes) {
-		if (this.isDetached) {
+		if (this.isDetached || this.isFinished) {
 			return;
 		}
 		if (this.eventSplitter != null) {
@@ -144,7 +144,11 @@
 		if (this.body == null) {
 			this.body = Unpooled.buffer(bytes.readableBytes());
 		}
+		int count = bytes.readableBytes();
 		this.body.writeBytes(bytes);
+		this.call.forwarder.responseBuffers()
+			.add(this, count)
+			.ifPresent((attempt) -> attempt.abortExchange("response is too long"));
 	}
 
 	private void relayEvents(ByteBuf bytes) {
@@ -300,6 +304,7 @@
 	void finish(AttemptOutcome outcome) {
 		if (!this.isFinished) {
 			this.isFinished = true;
+			this.call.forwarder.responseBuffers().remove(this);
 			this.call.forwarder.traffic().finish(this.id, outcome, System.nanoTime());
 			this.call.forwarder.scheduleDispatch();
 		}
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -52,6 +52,8 @@
 
 	private final ServerDirectory directory;
 
+	private final ResponseBuffers responseBuffers = new ResponseBuffers();
+
 	private final ForwardMetrics metrics;
 
 	private AdapterLoader adapterLoader;
@@ -297,6 +299,10 @@
 		return this.traffic;
 	}
 
+	ResponseBuffers responseBuffers() {
+		return this.responseBuffers;
+	}
+
 	AdapterLoader adapterLoader() {
 		return this.adapterLoader;
 	}
--- a/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
+++ b/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
@@ -176,6 +176,21 @@
 			this.socket.close();
 		}
 
+		// Sends a text again and again until the client closes the connection or has
+		// accepted a number of bytes.
+		void sendUntilClosed(String text, long maxBytes) throws IOException {
+			try {
+				for (long sent = 0; sent < maxBytes; sent += text.length()) {
+					send(text);
+				}
+				this.closeEvents.add("open");
+			}
+			catch (IOException ex) {
+				this.closeEvents.add("closed");
+				throw ex;
+			}
+		}
+
 		// Waits until the client closes the connection or sends more bytes.
 		void awaitClientClose() throws IOException {
 			int next;
