Drop a removed entry at once after a short silence of the store

Cause: entries that vanish within 2.2 s of the store's return are kept, as they may have lapsed while the engines could not write. Change: the store counts as regained only after more than 1 s without a response; an entry lapses after three missed heartbeats. Figures: StoreFollowerTests.removesEntryAtOnceAfterShortLossOfStore fails before (2.5 s) and passes after.

--- a/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/HostListFollower.java
@@ -1,5 +1,6 @@
 package org.celeryhill.edge;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,12 @@
 	 */
 	private static final long REREGISTRATION_MS = 2200;
 
+	/**
+	 * Silence of the store up to which no entry lapses, as an entry lapses after three
+	 * missed heartbeats. A removal is then the work of a backend server that has left.
+	 */
+	private static final Duration MAX_HARMLESS_SILENCE = Duration.ofSeconds(1);
+
 	private final Map<String, Future<?>> pendingRemovals = new HashMap<>();
 
 	private final EventLoop loop;
@@ -76,8 +83,10 @@
 	}
 
 	@Override
-	public void onStoreRegained() {
-		regained(0);
+	public void onStoreRegained(Duration silence) {
+		if (silence.compareTo(MAX_HARMLESS_SILENCE) > 0) {
+			regained(0);
+		}
 	}
 
 	// Records that another host regained the store the given time ago.
--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -7,6 +7,7 @@
 import org.celeryhill.forward.BackendClient;
 import org.celeryhill.forward.Forwarder;
 import org.celeryhill.platform.FakePlatformService;
+import org.celeryhill.platform.FakePlatformStore;
 import org.celeryhill.platform.PlatformHeaderCodec;
 import org.celeryhill.platform.PlatformTables;
 import org.celeryhill.platform.StoreClient;
@@ -94,6 +95,23 @@
 		assertThat(System.nanoTime() - since).isLessThan(2_000_000_000L);
 	}
 
+	// Guards against requests to an engine that has left, when the holder loses the store
+	// for a moment and reads the removal of the entry through another host.
+	@Test
+	void removesEntryAtOnceAfterShortLossOfStore() throws Exception {
+		this.fixture.runUntil("holder knows the engine", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-1"));
+		this.fixture.store.setFault(FakePlatformStore.Fault.BUSY);
+		this.fixture.runUntil("holder loses the store", () -> this.holder.follower.tick(true),
+				() -> this.holder.follower.isOperatorTableLost());
+		this.fixture.store.remove(PlatformTables.BACKEND_SERVERS_TABLE, "i-1");
+		this.fixture.store.setFault(FakePlatformStore.Fault.NONE);
+		long since = System.nanoTime();
+		this.fixture.runUntil("holder learns of the removal", () -> this.holder.follower.tick(true),
+				() -> !this.holder.knows("i-1"));
+		assertThat(System.nanoTime() - since).isLessThan(1_500_000_000L);
+	}
+
 	// Guards against a host that never applies a configuration that it was told of, as it
 	// does not poll the store while the holder passes on rows.
 	@Test
