Compress the configuration that a host gets from another one

Change: the document is sent compressed, made once for each version. Compression takes what RowArchive had for itself.

--- a/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
+++ b/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
@@ -33,6 +33,8 @@
 
 	private byte[] document = {};
 
+	private String compressedDocument = "";
+
 	private long announcedVersion;
 
 	private long announcedNanos;
@@ -51,6 +53,7 @@
 		}
 		if (this.forwarder.apply(table.get())) {
 			this.document = candidate;
+			this.compressedDocument = "";
 		}
 		else {
 			LOG.info("configuration_ignored", "version", table.get().version(), "in_force", version(), "source",
@@ -86,8 +89,12 @@
 		return this.forwarder.table().map(RoutingTable::version).orElse(0L);
 	}
 
-	byte[] document() {
-		return this.document;
+	// Returns the active configuration for another host, see Compression.
+	String compressedDocument() {
+		if (this.compressedDocument.isEmpty()) {
+			this.compressedDocument = Compression.compress(this.document);
+		}
+		return this.compressedDocument;
 	}
 
 	@Override
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -202,7 +201,7 @@
 		PeerMessages.findText(reply, "holder")
 			.ifPresent((holder) -> this.holderHint = Optional.of(ServerEntryCodec.address(holder)));
 		PeerMessages.findText(reply, "configuration")
-			.ifPresent((text) -> this.configuration.applyIfNewer(Base64.getDecoder().decode(text), "peer"));
+			.ifPresent((text) -> this.configuration.applyIfNewer(Compression.expand(text), "peer"));
 		this.configuration.recordAnnounced(reply.path("configurationVersion").asLong());
 		if (!reply.path("isHolder").asBoolean() || reply.path("isDemandNeeded").asBoolean()) {
 			this.demandMeter.forgetInformedHost();
@@ -369,7 +368,7 @@
 		reply.put("configurationVersion", this.configuration.version());
 		boolean isNewer = this.configuration.version() > body.path("version").asLong();
 		if (isNewer && body.path("needsConfiguration").asBoolean()) {
-			reply.put("configuration", Base64.getEncoder().encodeToString(this.configuration.document()));
+			reply.put("configuration", this.configuration.compressedDocument());
 		}
 		return reply;
 	}
--- a/edge/src/main/java/org/celeryhill/edge/RowArchive.java
+++ b/edge/src/main/java/org/celeryhill/edge/RowArchive.java
@@ -1,16 +1,11 @@
 package org.celeryhill.edge;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
-import java.util.zip.DeflaterOutputStream;
-import java.util.zip.InflaterInputStream;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import org.celeryhill.platform.JsonHttpClient;
@@ -22,9 +17,6 @@
  */
 final class RowArchive {
 
-	/** Size up to which the rows of a message are expanded. */
-	private static final int MAX_EXPANDED_BYTES = 16 << 20;
-
 	private RowArchive() {
 	}
 
@@ -38,14 +30,12 @@
 				// Each byte becomes one character, as the value may be any bytes.
 				.put("value", new String(row.value(), StandardCharsets.ISO_8859_1));
 		}
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		try (DeflaterOutputStream deflater = new DeflaterOutputStream(bytes)) {
-			deflater.write(JsonHttpClient.MAPPER.writeValueAsBytes(list));
+		try {
+			return Compression.compress(JsonHttpClient.MAPPER.writeValueAsBytes(list));
 		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("failed to encode rows", ex);
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("failed to encode rows", ex);
 		}
-		return Base64.getEncoder().encodeToString(bytes.toByteArray());
 	}
 
 	/**
@@ -56,13 +46,8 @@
 	 */
 	static List<StoreClient.StoredRow> decode(String text) {
 		JsonNode list;
-		try (InflaterInputStream inflater = new InflaterInputStream(
-				new ByteArrayInputStream(Base64.getDecoder().decode(text)))) {
-			byte[] bytes = inflater.readNBytes(MAX_EXPANDED_BYTES + 1);
-			if (bytes.length > MAX_EXPANDED_BYTES) {
-				throw new IllegalArgumentException("rows are longer than " + MAX_EXPANDED_BYTES + " bytes");
-			}
-			list = JsonHttpClient.MAPPER.readTree(bytes);
+		try {
+			list = JsonHttpClient.MAPPER.readTree(Compression.expand(text));
 		}
 		catch (IOException ex) {
 			throw new IllegalArgumentException("malformed rows: " + ex.getMessage(), ex);
