--- a/fuzz/src/test/java/org/celeryhill/fuzz/PromiseTests.java
+++ b/fuzz/src/test/java/org/celeryhill/fuzz/PromiseTests.java
@@ -9,8 +9,8 @@
 
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.Disposable;
-import org.celeryhill.base.KnownRedCondition;
 import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.KnownRedCondition;
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.TimerService;
 import org.celeryhill.placement.PlacementPlan;
--- a/placement/src/main/java/org/celeryhill/placement/DemandHistory.java
+++ b/placement/src/main/java/org/celeryhill/placement/DemandHistory.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 import org.celeryhill.base.ModelId;
 
@@ -19,6 +18,8 @@
 	 */
 	private static final double PEAK_DECAY_NANOS = 120e9;
 
+	private static final double NANOS_PER_SECOND = 1e9;
+
 	private final Map<ModelId, Entry> entries = new HashMap<>();
 
 	private DemandHistory() {
@@ -84,7 +85,7 @@
 		}
 
 		double unservedSeconds(long nowNanos) {
-			return this.isUnserved ? (nowNanos - this.unservedSinceNanos) / (double) TimeUnit.SECONDS.toNanos(1) : 0;
+			return this.isUnserved ? (nowNanos - this.unservedSinceNanos) / NANOS_PER_SECOND : 0;
 		}
 
 	}
