Do not relay a write again when its outcome is unknown

Cause: found while reading the diff. A refused call goes through up to four hosts in turn. When the answer of the first one was lost and the next ones were refused, the call was reported as refused: not applied, though it may have been. Change: only calls that were refused, not sent or that read go on to the next host; a write with a lost answer is reported as unknown. Conclusion: what a writer is told about its attempt is true again.

--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -181,16 +182,24 @@
 						reply.body().path("body")));
 			this.relayedReply = Optional.of(sent);
 			sent.whenComplete((reply, failure) -> {
-				if (failure == null && isAccepted(reply) && reply.status() != HttpResponseStatus.BAD_GATEWAY.code()) {
+				boolean isAnswered = failure == null && reply.status() != HttpResponseStatus.BAD_GATEWAY.code();
+				if (isAnswered && isAccepted(reply)) {
 					handleRelayed(host.get(), reply);
+					return;
 				}
-				else {
-					handleRelayFailure(host.get(), sentNanos, (failure != null) ? failure : reply.status());
-				}
+				boolean isRepeatable = isAnswered || this.call.method().equals("GET") || isNotSent(failure);
+				LOG.info("store_relay_failed", "host", host.get(), "target", this.call.target(), "relays",
+						this.relayCount, "cause", (failure != null) ? failure : reply.status());
+				handleRelayFailure(isRepeatable && System.nanoTime() - sentNanos < RELAY_DELAY.toNanos());
 			});
 			return true;
 		}
 
+		private static boolean isNotSent(Throwable failure) {
+			Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+			return cause instanceof JsonHttpClient.CallFailedException failed && failed.isNotSent();
+		}
+
 		private void handleRelayed(InetSocketAddress host, JsonHttpClient.Response reply) {
 			StoreRelay.this.hasRelayFailed = false;
 			StoreRelay.this.lastRelayHost = Optional.of(host);
@@ -202,12 +211,12 @@
 			this.result.complete(reply);
 		}
 
-		private void handleRelayFailure(InetSocketAddress host, long sentNanos, Object cause) {
-			LOG.info("store_relay_failed", "host", host, "target", this.call.target(), "relays", this.relayCount,
-					"cause", cause);
+		// Relays the call through another host if that is allowed. A write whose outcome
+		// is
+		// unknown is not, as a later refusal would hide that it may have been applied.
+		private void handleRelayFailure(boolean isRepeatable) {
 			StoreRelay.this.lastRelayHost = Optional.empty();
-			boolean isEarly = System.nanoTime() - sentNanos < RELAY_DELAY.toNanos();
-			if (isEarly && this.relayCount < MAX_RELAYS && !this.result.isDone() && sendThroughNextHost()) {
+			if (isRepeatable && this.relayCount < MAX_RELAYS && !this.result.isDone() && sendThroughNextHost()) {
 				return;
 			}
 			StoreRelay.this.hasRelayFailed = true;
--- a/edge/src/test/java/org/celeryhill/edge/StoreRelayTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreRelayTests.java
@@ -13,6 +13,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.KnownRedCondition;
 import org.celeryhill.forward.IncomingRequest;
 import org.celeryhill.forward.IngressLimits;
@@ -22,6 +23,10 @@
 import org.celeryhill.platform.FakePlatformStore;
 import org.celeryhill.platform.JsonHttpClient;
 import org.celeryhill.platform.StoreClient;
+import org.celeryhill.platform.StoreTableService;
+import org.celeryhill.port.RowKey;
+import org.celeryhill.port.RowWrite;
+import org.celeryhill.port.TableService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -52,11 +57,7 @@
 	void start() throws Exception {
 		this.fixture = new ControlFixture();
 		this.unreachableStore = new FakePlatformStore();
-		IngressServer server = IngressServer.create(this.fixture.loop.loop(), new Host(this.fixture.store));
-		this.host = (InetSocketAddress) server.listen(new InetSocketAddress("127.0.0.1", 0))
-			.sync()
-			.channel()
-			.localAddress();
+		this.host = listen(new Host(this.fixture.store));
 		this.relay = new StoreRelay(this.fixture.loop.loop(), this.fixture.loop.httpClient(),
 				this.unreachableStore.address());
 		this.client = StoreClient.create(this.relay, this.unreachableStore.address());
@@ -100,17 +101,43 @@
 	// of the hosts that it relays through as well.
 	@Test
 	void relaysThroughNextHostWhenStoreRefusesRelayedCall() throws Exception {
-		IngressServer server = IngressServer.create(this.fixture.loop.loop(), new Host(this.unreachableStore));
-		InetSocketAddress refusedHost = (InetSocketAddress) server.listen(new InetSocketAddress("127.0.0.1", 0))
-			.sync()
-			.channel()
-			.localAddress();
+		InetSocketAddress refusedHost = listen(new Host(this.unreachableStore));
 		this.unreachableStore.setFault(FakePlatformStore.Fault.BUSY);
 		Iterator<InetSocketAddress> hosts = List.of(refusedHost, refusedHost, this.host).iterator();
 		this.relay.setRelayHosts(() -> Optional.of(hosts.next()));
 		assertThat(rows()).isEqualTo(1);
 	}
 
+	// Guards against a write that is reported as not applied, although its answer was
+	// lost on
+	// the way through the first host and only the second one was refused.
+	@Test
+	void reportsUnknownOutcomeOfRelayedWrite() throws Exception {
+		FakePlatformStore losingStore = new FakePlatformStore();
+		try {
+			InetSocketAddress losingHost = listen(new Host(losingStore));
+			InetSocketAddress refusedHost = listen(new Host(this.unreachableStore));
+			losingStore.setFault(FakePlatformStore.Fault.LOST_RESPONSES);
+			this.unreachableStore.setFault(FakePlatformStore.Fault.BUSY);
+			Iterator<InetSocketAddress> hosts = List.of(losingHost, refusedHost, refusedHost, refusedHost).iterator();
+			this.relay.setRelayHosts(() -> Optional.of(hosts.next()));
+			TableService.WriteResult result = StoreTableService.create(this.client)
+				.write(AttemptId.of("w-1"), List.of(RowWrite.create(RowKey.of("lease", "placement"), "{}")));
+			assertThat(result).isInstanceOf(TableService.WriteUnknown.class);
+		}
+		finally {
+			losingStore.close();
+		}
+	}
+
+	private InetSocketAddress listen(Host handler) throws Exception {
+		return (InetSocketAddress) IngressServer.create(this.fixture.loop.loop(), handler)
+			.listen(new InetSocketAddress("127.0.0.1", 0))
+			.sync()
+			.channel()
+			.localAddress();
+	}
+
 	// Guards against calls that all hosts relay through each other while the store is
 	// down.
 	@Test
@@ -145,8 +172,10 @@
 			try {
 				new StoreRelay(fixture.loop.loop(), fixture.loop.httpClient(), this.store.address()).processRelayedCall(
 						JsonHttpClient.MAPPER.readTree(bytes),
-						(reply) -> channel.respond(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE,
-								Unpooled.copiedBuffer(reply.orElseThrow().toString(), StandardCharsets.UTF_8)));
+						(reply) -> channel.respond(
+								reply.isPresent() ? HttpResponseStatus.OK : HttpResponseStatus.BAD_GATEWAY,
+								EmptyHttpHeaders.INSTANCE,
+								Unpooled.copiedBuffer(reply.map(Object::toString).orElse(""), StandardCharsets.UTF_8)));
 			}
 			catch (IOException ex) {
 				throw new IllegalStateException(ex);
