--- a/traffic/src/main/java/org/celeryhill/traffic/UsageTracker.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/UsageTracker.java
@@ -159,6 +159,7 @@
 		}
 		Map<OrganisationId, double[]> sums = new LinkedHashMap<>();
 		addRates(this.ownRates, sums, now, 1);
+		// The sums contain only the rates of this daemon so far.
 		for (Map.Entry<OrganisationId, double[]> own : sums.entrySet()) {
 			own.getValue()[0] = own.getValue()[1];
 		}
