Log which requests are in flight without an event when an engine ends

Change: CrashDetector collects the responses that break on one process, asks 30 ms later whether it still listens, and logs responses_broken; a counter celeryhill_server_crashes_total.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeMetrics.java
@@ -53,6 +53,11 @@
 		.labelNames("action", "result")
 		.register(this.registry);
 
+	private final Counter serverCrashes = Counter.builder()
+		.name("celeryhill_server_crashes_total")
+		.help("Backend server processes that ended while they worked on requests of this host.")
+		.register(this.registry);
+
 	private final Gauge lease = Gauge.builder()
 		.name("celeryhill_lease_held")
 		.help("1 while this host holds the placement lease.")
@@ -78,6 +83,11 @@
 		this.firstEvent.observe(seconds);
 	}
 
+	@Override
+	public void recordServerCrash() {
+		this.serverCrashes.inc();
+	}
+
 	void countCommand(String action, String result) {
 		this.commands.labelValues(action, result).inc();
 	}
--- a/edge/src/test/java/org/celeryhill/edge/MetricsTableTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/MetricsTableTests.java
@@ -43,6 +43,7 @@
 		metrics.recordSend(true);
 		metrics.recordEnd(200, 0.1);
 		metrics.recordFirstEvent(0.1);
+		metrics.recordServerCrash();
 		metrics.countCommand("load", "ACCEPTED");
 		metrics.setLeaseHeld(true);
 		Set<String> served = findNames(TYPE_LINE, new String(metrics.toText(), StandardCharsets.UTF_8));
--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -8,12 +9,15 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -120,6 +124,27 @@
 		});
 	}
 
+	/**
+	 * Opens a connection to find out whether a process listens at an address, and closes
+	 * it again.
+	 * @param address the address, not null
+	 * @param callback receives the result, not null
+	 */
+	void checkListening(InetSocketAddress address, Consumer<Reachability> callback) {
+		ChannelFuture future = this.bootstrap.clone().handler(new ChannelInboundHandlerAdapter()).connect(address);
+		future.addListener((done) -> {
+			if (future.isSuccess()) {
+				future.channel().close();
+				callback.accept(Reachability.LISTENING);
+			}
+			else {
+				boolean isRefused = future.cause() instanceof ConnectException
+						&& !(future.cause() instanceof ConnectTimeoutException);
+				callback.accept(isRefused ? Reachability.REFUSED : Reachability.UNKNOWN);
+			}
+		});
+	}
+
 	void returnToPool(BackendConnection connection) {
 		this.idleConnections.computeIfAbsent(connection.key(), (key) -> new ArrayDeque<>()).addLast(connection);
 	}
@@ -156,6 +181,22 @@
 		return this.loop;
 	}
 
+	/**
+	 * Whether a process listens at an address.
+	 */
+	enum Reachability {
+
+		/** A connection was accepted. */
+		LISTENING,
+
+		/** The machine responds, but no process listens. */
+		REFUSED,
+
+		/** No response arrived in time, or the connection failed in another way. */
+		UNKNOWN
+
+	}
+
 	/**
 	 * Identifies a connection pool: one process at one address.
 	 *
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -34,6 +34,12 @@
 
 	private static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
 
+	/**
+	 * Time from the first event of a stream after which its request is not the cause if
+	 * the engine process ends.
+	 */
+	private static final long RUN_CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	/** Difference between the priorities of adjacent priority classes at an engine. */
 	private static final int ENGINE_PRIORITY_STEP = 3;
 
@@ -55,6 +61,10 @@
 
 	private int tokensPerEvent;
 
+	private long firstEventNanos;
+
+	private boolean hasEvent;
+
 	private boolean isFinished;
 
 	boolean isDetached;
@@ -84,7 +94,7 @@
 		boolean isFirst = this.call.sendCount == 0;
 		this.call.sendCount++;
 		FullHttpRequest backendRequest = buildBackendRequest();
-		BackendClient.PoolKey poolKey = new BackendClient.PoolKey(this.server.address(), this.server.incarnationId());
+		BackendClient.PoolKey poolKey = poolKey();
 		Duration maxIdle = this.call.route.isRetryable() ? MAX_IDLE_RETRYABLE : MAX_IDLE_NON_RETRYABLE;
 		this.call.forwarder.metrics().recordSend(isFirst);
 		LOG.info("request_sent", "request", this.call.key, "attempt", this.id, "server", serverId(), "route",
@@ -93,6 +103,10 @@
 		this.exchange = this.call.forwarder.client().send(poolKey, backendRequest, maxIdle, this);
 	}
 
+	private BackendClient.PoolKey poolKey() {
+		return new BackendClient.PoolKey(this.server.address(), this.server.incarnationId());
+	}
+
 	private FullHttpRequest buildBackendRequest() {
 		IncomingRequest original = this.call.incoming;
 		HttpHeaders headers = HopByHopHeaders.copyEndToEnd(original.headers());
@@ -172,6 +186,10 @@
 					HopByHopHeaders.copyEndToEnd(this.response.headers()));
 			handleFirstEvent();
 		}
+		if (!this.hasEvent) {
+			this.hasEvent = true;
+			this.firstEventNanos = System.nanoTime();
+		}
 		this.call.eventCount++;
 		if (event.id().isPresent()) {
 			this.call.lastEventId = event.id();
@@ -273,9 +291,17 @@
 			this.call.retryOrEnd("not_sent");
 			return;
 		}
+		this.call.forwarder.crashDetector()
+			.recordBroken(poolKey(), this.call.key, this.call.requestMetadata.sharedPromptParts(), isRunConfirmed());
 		handleFailureAfterSend(detail);
 	}
 
+	// Returns whether the engine has worked on the response for so long that the request
+	// cannot be the cause if the process ends.
+	private boolean isRunConfirmed() {
+		return this.hasEvent && System.nanoTime() - this.firstEventNanos > RUN_CONFIRMATION_NANOS;
+	}
+
 	private void abortExchange(String detail) {
 		this.exchange.cancel();
 		handleFailureAfterSend(detail);
--- a/forward/src/main/java/org/celeryhill/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardMetrics.java
@@ -31,4 +31,10 @@
 	 */
 	void recordFirstEvent(double seconds);
 
+	/**
+	 * Counts a backend server process that ended while it worked on requests of this
+	 * host.
+	 */
+	void recordServerCrash();
+
 }
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -54,6 +54,8 @@
 
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
+	private final CrashDetector crashDetector;
+
 	private final ForwardMetrics metrics;
 
 	private AdapterLoader adapterLoader;
@@ -75,6 +77,7 @@
 		this.headerCodec = headerCodec;
 		this.traffic = traffic;
 		this.metrics = metrics;
+		this.crashDetector = new CrashDetector(client, this::handleCrash);
 		this.directory = ServerDirectory.create(this::engineProfile, (view) -> {
 			traffic.updateBackend(view, System.nanoTime());
 			scheduleDispatch();
@@ -299,6 +302,14 @@
 		return this.traffic;
 	}
 
+	private void handleCrash(ServerCrash crash) {
+		this.metrics.recordServerCrash();
+	}
+
+	CrashDetector crashDetector() {
+		return this.crashDetector;
+	}
+
 	ResponseBuffers responseBuffers() {
 		return this.responseBuffers;
 	}
--- a/forward/src/main/java/org/celeryhill/forward/RequestMetadata.java
+++ b/forward/src/main/java/org/celeryhill/forward/RequestMetadata.java
@@ -34,6 +34,16 @@
 		prompt = List.copyOf(prompt);
 	}
 
+	/**
+	 * Returns the hashes of the prompt parts that other requests may contain too. The
+	 * last part of a prompt is specific to the request or its session.
+	 * @return the hashes in the order of the prompt, never null
+	 */
+	public List<Long> sharedPromptParts() {
+		List<PromptPart> shared = this.prompt.subList(0, Math.max(0, this.prompt.size() - 1));
+		return shared.stream().map(PromptPart::hash).toList();
+	}
+
 	/**
 	 * A model and optionally one of its adapters.
 	 *
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -246,6 +246,11 @@
 			// Not under test.
 		}
 
+		@Override
+		public void recordServerCrash() {
+			// Not under test.
+		}
+
 	}
 
 }
