--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -178,6 +178,12 @@
 				+ "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
 	}
 
+	// Returns a request with the hashes of the parts of its prompt, separated by commas.
+	static String promptRequest(String path, String id, String parts) {
+		return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nid: " + id + "\r\nmodel: " + MODEL + "\r\nprompt: "
+				+ parts + "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+	}
+
 	@Override
 	public void close() throws Exception {
 		runOnLoop(this.front::close);
--- a/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
+++ b/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
@@ -49,6 +49,11 @@
 		return this.receivedRequests;
 	}
 
+	// Ends like a process that crashes: all connections break, new ones are refused.
+	void crash() throws IOException {
+		close();
+	}
+
 	int connectionCount() {
 		return this.sockets.size();
 	}
--- a/forward/src/test/java/org/celeryhill/forward/TestHeaderCodec.java
+++ b/forward/src/test/java/org/celeryhill/forward/TestHeaderCodec.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,7 +21,15 @@
 					Optional.ofNullable(headers.get("adapter"))));
 		return new RequestMetadata(Optional.ofNullable(headers.get("id")),
 				Optional.ofNullable(headers.get("deadline")).map(Long::valueOf).map(Duration::ofMillis), model, 100, 10,
-				List.of(), Optional.ofNullable(headers.get("after")));
+				parts(headers.get("prompt", "")), Optional.ofNullable(headers.get("after")));
+	}
+
+	// Decodes the hashes of prompt parts, separated by commas.
+	private static List<RequestMetadata.PromptPart> parts(String value) {
+		return Stream.of(value.split(","))
+			.filter((text) -> !text.isEmpty())
+			.map((text) -> new RequestMetadata.PromptPart(Long.parseLong(text), 100))
+			.toList();
 	}
 
 	@Override
