Keep prompt parts that end backend servers from them, on all hosts

Callers saw: requests of one kind end engine after engine; streams of others break, sound requests get 503. Cause: a broken response counts as a failure of the server only. The request is sent on to the next engine, and no host relates one crash to another, its own or that of another host. Change: PromptQuarantine decides from crashes and successes which part of a prompt explains three or more crashes (six for a part that was served before); PromptGuard refuses its requests, and ends those in flight. EvidenceExchange spreads the evidence with each heartbeat, at once to the holder; without lease holder and store hosts meet at the same other host (PeerTargets).

--- a/edge/src/main/java/org/celeryhill/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeMetrics.java
@@ -58,6 +58,11 @@
 		.help("Backend server processes that ended while they worked on requests of this host.")
 		.register(this.registry);
 
+	private final Gauge quarantinedParts = Gauge.builder()
+		.name("celeryhill_prompt_parts_quarantined")
+		.help("Prompt parts whose requests are refused because they end backend servers.")
+		.register(this.registry);
+
 	private final Gauge lease = Gauge.builder()
 		.name("celeryhill_lease_held")
 		.help("1 while this host holds the placement lease.")
@@ -88,6 +93,11 @@
 		this.serverCrashes.inc();
 	}
 
+	@Override
+	public void setQuarantinedParts(int count) {
+		this.quarantinedParts.set(count);
+	}
+
 	void countCommand(String action, String result) {
 		this.commands.labelValues(action, result).inc();
 	}
--- a/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerMessages.java
@@ -1,5 +1,6 @@
 package org.celeryhill.edge;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,6 +20,7 @@
 import org.celeryhill.base.UsageTotals;
 import org.celeryhill.forward.RevisionMapping;
 import org.celeryhill.platform.JsonHttpClient;
+import org.celeryhill.platform.ServerEntryCodec;
 import org.celeryhill.platform.StoreClient;
 
 /**
@@ -112,6 +114,18 @@
 			.put("adapter", adapter);
 	}
 
+	static ArrayNode encodeAddresses(List<String> addresses) {
+		ArrayNode list = JsonHttpClient.MAPPER.createArrayNode();
+		addresses.forEach(list::add);
+		return list;
+	}
+
+	static List<InetSocketAddress> decodeAddresses(JsonNode list) {
+		List<InetSocketAddress> addresses = new ArrayList<>();
+		list.forEach((node) -> addresses.add(ServerEntryCodec.address(node.asText())));
+		return addresses;
+	}
+
 	static StoreClient.Rows decodeRows(JsonNode node) {
 		List<StoreClient.StoredRow> rows = findText(node, "rows").map(RowArchive::decode).orElse(List.of());
 		return new StoreClient.Rows(rows, node.path("version").asLong());
--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -90,9 +90,9 @@
 
 	private final String address;
 
-	private final List<InetSocketAddress> seeds;
+	private final PeerTargets targets;
 
-	private Optional<InetSocketAddress> holderHint = Optional.empty();
+	private final EvidenceExchange evidenceExchange;
 
 	private long lastHeartbeatNanos = System.nanoTime() - HEARTBEAT_PERIOD_NANOS;
 
@@ -102,11 +102,9 @@
 
 	private long loadTimesUpdatedNanos = System.nanoTime();
 
-	private int nextPeerIndex;
-
 	private int nextRelayIndex;
 
-	private boolean isHolderUnreachable;
+	private boolean hasNewEvidence;
 
 	PeerService(EventLoop loop, JsonHttpClient calls, Forwarder forwarder, Leadership leadership,
 			PlacementLoop placementLoop, DemandMeter demandMeter, ConfigurationHolder configuration,
@@ -123,14 +121,19 @@
 		this.address = settings.peer;
 		this.host = HostId.of(settings.hostId);
 		this.fleetUsage = new FleetUsage(this.host, DataCentre.of(settings.dataCentre));
-		this.seeds = settings.seedAddresses();
+		this.targets = new PeerTargets(leadership::holder, this.members, ServerEntryCodec.address(settings.peer),
+				settings.seedAddresses());
+		this.evidenceExchange = new EvidenceExchange(forwarder.promptGuard());
+		forwarder.promptGuard().setEvidenceListener(() -> this.hasNewEvidence = true);
+		forwarder.promptGuard().setProbePermit(leadership::isHolder);
 	}
 
 	// Sends a heartbeat if one is due. On the lease holder, updates the local state from
 	// the placement instead.
 	void tick() {
 		long now = System.nanoTime();
-		if (this.isHeartbeatPending || now - this.lastHeartbeatNanos < HEARTBEAT_PERIOD_NANOS) {
+		boolean isDue = now - this.lastHeartbeatNanos >= HEARTBEAT_PERIOD_NANOS;
+		if (this.isHeartbeatPending || !(isDue || this.hasNewEvidence)) {
 			return;
 		}
 		this.lastHeartbeatNanos = now;
@@ -144,26 +147,13 @@
 			this.demandMeter.forgetInformedHost();
 			return;
 		}
-		target().ifPresent(this::sendHeartbeat);
-	}
-
-	// Returns the lease holder if it is known and responded last, else the next known
-	// host in turn.
-	private Optional<InetSocketAddress> target() {
-		Optional<InetSocketAddress> holder = this.leadership.holder().or(() -> this.holderHint);
-		if (holder.isPresent() && !this.isHolderUnreachable) {
-			return holder;
-		}
-		this.isHolderUnreachable = false;
-		List<InetSocketAddress> peerAddresses = new ArrayList<>(this.seeds);
-		this.members.addresses().forEach((text) -> peerAddresses.add(ServerEntryCodec.address(text)));
-		peerAddresses.removeIf((one) -> one.equals(ServerEntryCodec.address(this.address)));
-		return peerAddresses.isEmpty() ? Optional.empty()
-				: Optional.of(peerAddresses.get(this.nextPeerIndex++ % peerAddresses.size()));
+		this.targets.next(this.hasNewEvidence).ifPresent(this::sendHeartbeat);
 	}
 
 	private void sendHeartbeat(InetSocketAddress target) {
 		this.isHeartbeatPending = true;
+		this.hasNewEvidence = false;
+		ObjectNode evidence = this.evidenceExchange.encodeRequest(target);
 		ObjectNode body = JsonHttpClient.MAPPER.createObjectNode();
 		body.put("address", this.address);
 		body.put("version", this.configuration.version());
@@ -173,17 +163,23 @@
 		body.put("isWholeDemand", !this.demandMeter.isInformed(target));
 		body.set("demand", PeerMessages.encodeDemand(this.demandMeter.unknownRates(target)));
 		body.set("uses", PeerMessages.encodeEngineModels(List.copyOf(this.usedAdapters)));
+		body.put("namedHosts", this.targets.namedHostsHash());
+		if (!evidence.isEmpty()) {
+			body.set("evidence", evidence);
+		}
 		this.usedAdapters.clear();
 		long startNanos = System.nanoTime();
 		this.calls.send(peerCall(target, HEARTBEAT_PATH, body, HEARTBEAT_TIMEOUT)).whenComplete((reply, failure) -> {
 			this.isHeartbeatPending = false;
 			if (failure != null || reply.status() != HttpResponseStatus.OK.code()) {
-				this.isHolderUnreachable = true;
-				this.holderHint = Optional.empty();
+				this.targets.recordFailure(target);
+				this.hasNewEvidence |= evidence.path("items").size() > 0;
 				LOG.info("beat_failed", "target", target, "cause", (failure != null) ? failure : reply.status());
 				return;
 			}
 			try {
+				this.hasNewEvidence |= this.evidenceExchange.handleResponse(target, evidence,
+						reply.body().path("evidence"));
 				handleHeartbeatResponse(target, reply.body(), startNanos);
 			}
 			catch (IllegalArgumentException ex) {
@@ -198,8 +194,10 @@
 	}
 
 	private void handleHeartbeatResponse(InetSocketAddress target, JsonNode reply, long sentNanos) {
-		PeerMessages.findText(reply, "holder")
-			.ifPresent((holder) -> this.holderHint = Optional.of(ServerEntryCodec.address(holder)));
+		this.targets.recordResponse(PeerMessages.findText(reply, "holder").map(ServerEntryCodec::address));
+		if (reply.path("namedHosts").isArray()) {
+			this.targets.recordNamedHosts(PeerMessages.decodeAddresses(reply.path("namedHosts")));
+		}
 		PeerMessages.findText(reply, "configuration")
 			.ifPresent((text) -> this.configuration.applyIfNewer(Compression.expand(text), "peer"));
 		this.configuration.recordAnnounced(reply.path("configurationVersion").asLong());
@@ -279,7 +277,7 @@
 			this.placementLoop.loadAdapter(engine, name, onLoaded);
 			return;
 		}
-		Optional<InetSocketAddress> holder = this.leadership.holder().or(() -> this.holderHint);
+		Optional<InetSocketAddress> holder = this.targets.holder();
 		if (holder.isEmpty()) {
 			LOG.info("adapter_not_requested", "engine", engine, "adapter", name.toId(), "reason", "no_holder");
 			onLoaded.accept(false);
@@ -365,6 +363,11 @@
 		else {
 			this.leadership.holder().ifPresent((holder) -> reply.put("holder", ServerEntryCodec.formatAddress(holder)));
 		}
+		List<String> namedHosts = this.targets.namedHosts();
+		if (namedHosts.hashCode() != body.path("namedHosts").asInt()) {
+			reply.set("namedHosts", PeerMessages.encodeAddresses(namedHosts));
+		}
+		this.evidenceExchange.answer(body.path("evidence")).ifPresent((evidence) -> reply.set("evidence", evidence));
 		reply.put("configurationVersion", this.configuration.version());
 		boolean isNewer = this.configuration.version() > body.path("version").asLong();
 		if (isNewer && body.path("needsConfiguration").asBoolean()) {
--- a/forward/src/main/java/org/celeryhill/forward/CrashDetector.java
+++ b/forward/src/main/java/org/celeryhill/forward/CrashDetector.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -40,7 +42,7 @@
 	}
 
 	// Records that the connection of an attempt ended before its response was complete.
-	void recordBroken(BackendClient.PoolKey server, RequestId request, List<Long> promptParts, boolean isConfirmed) {
+	void recordBroken(BackendClient.PoolKey server, BrokenRequest request) {
 		BrokenResponses broken = this.brokenResponses.get(server);
 		if (broken == null) {
 			broken = new BrokenResponses(System.nanoTime());
@@ -48,8 +50,9 @@
 			this.client.loop().schedule(() -> confirm(server), CONFIRMATION_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 		broken.responseCount++;
-		if (!isConfirmed && !promptParts.isEmpty() && broken.candidates.size() < MAX_CANDIDATES) {
-			broken.candidates.add(new Candidate(request, promptParts));
+		if (!request.isRunConfirmed() && !request.promptParts().isEmpty()
+				&& broken.candidates.size() < MAX_CANDIDATES) {
+			broken.candidates.add(request);
 		}
 	}
 
@@ -64,13 +67,12 @@
 			LOG.info("responses_broken", "server", server.owner(), "connection", result, "responses",
 					broken.responseCount, "candidates", describe(broken.candidates));
 			if (result == BackendClient.Reachability.REFUSED) {
-				this.listener.accept(new ServerCrash(server.owner(), broken.nanos,
-						broken.candidates.stream().map(Candidate::promptParts).toList()));
+				this.listener.accept(broken.toCrash(server.owner()));
 			}
 		});
 	}
 
-	private static String describe(List<Candidate> candidates) {
+	private static String describe(List<BrokenRequest> candidates) {
 		return candidates.stream()
 			.map((candidate) -> candidate.request() + ":"
 					+ candidate.promptParts().stream().map(Long::toHexString).collect(Collectors.joining("+")))
@@ -78,14 +80,20 @@
 	}
 
 	/**
-	 * A request that may have ended the process.
+	 * A request whose response broke.
+	 *
+	 * @param request the id of the request
+	 * @param promptParts the shared parts of its prompt
+	 * @param isRepeated whether another server had worked on the request before
+	 * @param isRunConfirmed whether the server had worked on it for so long that it
+	 * cannot be the cause if the server has ended
 	 */
-	private record Candidate(RequestId request, List<Long> promptParts) {
+	record BrokenRequest(RequestId request, List<Long> promptParts, boolean isRepeated, boolean isRunConfirmed) {
 	}
 
 	private static final class BrokenResponses {
 
-		private final List<Candidate> candidates = new ArrayList<>();
+		private final List<BrokenRequest> candidates = new ArrayList<>();
 
 		private final long nanos;
 
@@ -95,6 +103,18 @@
 			this.nanos = nanos;
 		}
 
+		private ServerCrash toCrash(String server) {
+			Set<List<Long>> parts = new HashSet<>();
+			Set<Long> repeatedParts = new HashSet<>();
+			for (BrokenRequest candidate : this.candidates) {
+				parts.add(candidate.promptParts());
+				if (candidate.isRepeated()) {
+					repeatedParts.addAll(candidate.promptParts());
+				}
+			}
+			return new ServerCrash(server, this.nanos, parts, repeatedParts);
+		}
+
 	}
 
 }
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -65,6 +65,10 @@
 
 	private boolean hasEvent;
 
+	private long startNanos;
+
+	private boolean isServedRecorded;
+
 	private boolean isFinished;
 
 	boolean isDetached;
@@ -93,6 +97,7 @@
 	void start() {
 		boolean isFirst = this.call.sendCount == 0;
 		this.call.sendCount++;
+		this.startNanos = System.nanoTime();
 		FullHttpRequest backendRequest = buildBackendRequest();
 		BackendClient.PoolKey poolKey = poolKey();
 		Duration maxIdle = this.call.route.isRetryable() ? MAX_IDLE_RETRYABLE : MAX_IDLE_NON_RETRYABLE;
@@ -190,6 +195,9 @@
 			this.hasEvent = true;
 			this.firstEventNanos = System.nanoTime();
 		}
+		else if (!this.isServedRecorded && isRunConfirmed()) {
+			recordServed();
+		}
 		this.call.eventCount++;
 		if (event.id().isPresent()) {
 			this.call.lastEventId = event.id();
@@ -256,6 +264,9 @@
 			abortExchange("stream ended within an event or without any");
 			return;
 		}
+		if (!this.isServedRecorded) {
+			recordServed();
+		}
 		finish(AttemptOutcome.COMPLETED);
 		this.call.finish(this.response.status().code(), "complete");
 		this.call.channel.endStream();
@@ -291,11 +302,19 @@
 			this.call.retryOrEnd("not_sent");
 			return;
 		}
-		this.call.forwarder.crashDetector()
-			.recordBroken(poolKey(), this.call.key, this.call.requestMetadata.sharedPromptParts(), isRunConfirmed());
+		this.call.forwarder.promptGuard()
+			.recordBroken(poolKey(), new CrashDetector.BrokenRequest(this.call.key, this.call.promptParts,
+					this.call.executionCount > 0, isRunConfirmed()));
 		handleFailureAfterSend(detail);
 	}
 
+	private void recordServed() {
+		this.isServedRecorded = true;
+		if (!this.call.promptParts.isEmpty()) {
+			this.call.forwarder.promptGuard().recordServed(this.call.promptParts, this.startNanos);
+		}
+	}
+
 	// Returns whether the engine has worked on the response for so long that the request
 	// cannot be the cause if the process ends.
 	private boolean isRunConfirmed() {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -36,6 +36,8 @@
 	/** Assumed time until a model is ready if no engine has started to load it. */
 	private static final Duration DEFAULT_LOAD_TIME = Duration.ofMillis(2500);
 
+	private static final String QUARANTINED = "prompt_quarantined";
+
 	private static final Duration MIN_ABANDONMENT_TIME = Duration.ofSeconds(2);
 
 	final Forwarder forwarder;
@@ -56,6 +58,9 @@
 
 	final List<Long> prefixBlockHashes;
 
+	/** The parts of the prompt that other requests may contain too. */
+	final List<Long> promptParts;
+
 	final long deadlineNanos;
 
 	private final Future<?> expiryTimer;
@@ -93,6 +98,7 @@
 		Duration deadline = requestMetadata.deadline().orElse(DEFAULT_DEADLINE);
 		Duration limit = (deadline.compareTo(route.timeout()) < 0) ? deadline : route.timeout();
 		this.deadlineNanos = incoming.arrivedNanos() + limit.toNanos();
+		this.promptParts = requestMetadata.sharedPromptParts();
 		this.prefixBlockHashes = PromptBlockHashes.of(requestMetadata.prompt());
 		this.request = new TrafficRequest(key, RevisionMapping.ORGANISATION, this.service,
 				requestMetadata.model().map(RequestMetadata.ModelName::toId), RevisionMapping.priority(route),
@@ -107,6 +113,11 @@
 	}
 
 	void submit() {
+		Optional<Duration> quarantine = this.forwarder.promptGuard().check(this.promptParts, System.nanoTime());
+		if (quarantine.isPresent()) {
+			refuse(QUARANTINED, quarantine.get());
+			return;
+		}
 		this.requestMetadata.model()
 			.ifPresent((name) -> this.forwarder.demandListener()
 				.onRequest(this.service, name.model(), value(this.request.priority())));
@@ -229,11 +240,31 @@
 		this.channel.abort();
 	}
 
+	// Ends the request after a part of its prompt came into quarantine, unless its engine
+	// has begun to respond.
+	void endQuarantined() {
+		boolean isInFlight = this.attempt != null && this.attempt.isInFlight();
+		if (this.isEnded || (this.isStreaming && isInFlight)) {
+			return;
+		}
+		if (this.isStreaming) {
+			abort(QUARANTINED);
+			return;
+		}
+		if (this.mayHaveRun || isInFlight) {
+			fail(HttpResponseStatus.BAD_GATEWAY, QUARANTINED);
+			return;
+		}
+		Optional<Duration> wait = this.forwarder.promptGuard().check(this.promptParts, System.nanoTime());
+		wait.ifPresent((delay) -> refuse(QUARANTINED, delay));
+	}
+
 	// Queues the request for another attempt if that is allowed, else ends it.
 	void retryOrEnd(String reason) {
 		boolean isAllowed = !this.mayHaveRun
 				|| (this.route.isRetryable() && this.executionCount < this.route.maxAttempts());
-		if (isAllowed && System.nanoTime() < this.deadlineNanos) {
+		boolean isQuarantined = this.forwarder.promptGuard().isQuarantined(this.promptParts);
+		if (isAllowed && !isQuarantined && System.nanoTime() < this.deadlineNanos) {
 			long now = System.nanoTime();
 			Optional<TrafficAction.Refuse> refusal = this.attempt.wasSent()
 					? this.forwarder.traffic().retry(this.request, this.attempt.id, now)
--- a/forward/src/main/java/org/celeryhill/forward/ForwardMetrics.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardMetrics.java
@@ -37,4 +37,10 @@
 	 */
 	void recordServerCrash();
 
+	/**
+	 * Sets the number of prompt parts that are in quarantine on this host.
+	 * @param count the number
+	 */
+	void setQuarantinedParts(int count);
+
 }
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -38,6 +38,9 @@
 	/** Period of the dispatch of queued requests when no other event triggers one. */
 	private static final long DISPATCH_PERIOD_MS = 20;
 
+	/** Period of the removal of expired evidence against prompt parts. */
+	private static final long EXPIRY_PERIOD_MS = 10_000;
+
 	private static final Duration UNCONFIGURED_RETRY_AFTER = Duration.ofMillis(300);
 
 	private final Map<RequestId, ForwardCall> calls = new HashMap<>();
@@ -54,7 +57,7 @@
 
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
-	private final CrashDetector crashDetector;
+	private final PromptGuard promptGuard;
 
 	private final ForwardMetrics metrics;
 
@@ -77,7 +80,7 @@
 		this.headerCodec = headerCodec;
 		this.traffic = traffic;
 		this.metrics = metrics;
-		this.crashDetector = new CrashDetector(client, this::handleCrash);
+		this.promptGuard = new PromptGuard(client, metrics, this::endCallsWithPart);
 		this.directory = ServerDirectory.create(this::engineProfile, (view) -> {
 			traffic.updateBackend(view, System.nanoTime());
 			scheduleDispatch();
@@ -102,6 +105,8 @@
 		Forwarder forwarder = new Forwarder(loop, client, headerCodec, traffic, metrics);
 		loop.scheduleAtFixedRate(forwarder::scheduleDispatchIfActive, DISPATCH_PERIOD_MS, DISPATCH_PERIOD_MS,
 				TimeUnit.MILLISECONDS);
+		loop.scheduleAtFixedRate(() -> forwarder.promptGuard.removeExpired(System.nanoTime()), EXPIRY_PERIOD_MS,
+				EXPIRY_PERIOD_MS, TimeUnit.MILLISECONDS);
 		return forwarder;
 	}
 
@@ -164,6 +169,14 @@
 		return this.directory;
 	}
 
+	/**
+	 * Returns the guard against prompts that end backend servers.
+	 * @return the guard, never null
+	 */
+	public PromptGuard promptGuard() {
+		return this.promptGuard;
+	}
+
 	/**
 	 * Returns the usage totals of this host, to be sent to the other hosts.
 	 * @return the totals, never null
@@ -302,12 +315,12 @@
 		return this.traffic;
 	}
 
-	private void handleCrash(ServerCrash crash) {
-		this.metrics.recordServerCrash();
-	}
-
-	CrashDetector crashDetector() {
-		return this.crashDetector;
+	private void endCallsWithPart(long part) {
+		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
+			if (call.promptParts.contains(part)) {
+				call.endQuarantined();
+			}
+		}
 	}
 
 	ResponseBuffers responseBuffers() {
--- a/forward/src/main/java/org/celeryhill/forward/ServerCrash.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerCrash.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * The end of a backend server process while it worked on requests of this host. Immutable
@@ -12,15 +13,18 @@
  * {@link System#nanoTime()}
  * @param candidates the shared prompt parts of each request whose response had not begun
  * or had only just begun, not null
+ * @param repeatedParts the parts of those requests that another backend server had worked
+ * on before, not null
  */
-public record ServerCrash(String server, long brokenNanos, List<List<Long>> candidates) {
+public record ServerCrash(String server, long brokenNanos, Set<List<Long>> candidates, Set<Long> repeatedParts) {
 
 	/**
-	 * Creates a crash with a copy of the candidates.
+	 * Creates a crash with copies of the sets.
 	 */
 	public ServerCrash {
 		Objects.requireNonNull(server, "server");
-		candidates = candidates.stream().map(List::copyOf).toList();
+		candidates = Set.copyOf(candidates);
+		repeatedParts = Set.copyOf(repeatedParts);
 	}
 
 }
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -257,6 +257,11 @@
 			// Not under test.
 		}
 
+		@Override
+		public void setQuarantinedParts(int count) {
+			// Not under test.
+		}
+
 	}
 
 }
