Check the request id of refusals too

Callers saw (reported by other operators): 'not run, try again' for a request that had run, or a second run at another server. Cause: ForwardAttempt compared the id of a response with that of the request unless the response said that nothing was executed, so a refusal of an earlier request, sent once more on a connection in use again, was taken for that of the next one. Change: the id has to match for each response; a response with another one ends the attempt as one that may have run. Evidence: ForwarderTests.repeatedRefusalOfEarlierRequestIsNotTakenForAnother got 503 before and gets 502 now, one send.

--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -136,7 +136,7 @@
 			return;
 		}
 		Optional<String> expected = this.call.requestMetadata.id();
-		if (!this.responseMetadata.isNotExecuted() && !this.responseMetadata.attemptId().equals(expected)) {
+		if (!this.responseMetadata.attemptId().equals(expected)) {
 			abortExchange("response belongs to another request: " + this.responseMetadata.attemptId().orElse("none"));
 			return;
 		}
--- a/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
@@ -314,4 +314,29 @@
 		}
 	}
 
+	// Guards against the refusal of an earlier request that a server sends once more on a
+	// connection in use again, so that a request which has run is reported as not
+	// executed or sent to another server.
+	@Test
+	void repeatedRefusalOfEarlierRequestIsNotTakenForAnother() throws Exception {
+		this.fixture.configure();
+		ScriptedServer.Script script = (request, connection) -> {
+			String id = request.header("id", "");
+			if (id.equals("r1")) {
+				connection.respond(request, 503, "not-run: 1\r\n", "");
+				return;
+			}
+			connection.send("HTTP/1.1 503 Status\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n");
+		};
+		try (ScriptedServer engine = new ScriptedServer(script)) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, engine);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", "b")))
+				.startsWith("HTTP/1.1 503");
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r2", "b")))
+				.startsWith("HTTP/1.1 502");
+			assertThat(engine.receivedRequests().stream().filter((one) -> one.header("id", "").equals("r2")))
+				.hasSize(1);
+		}
+	}
+
 }
