Test that a request is not sent again to the server that refused it

Cause: a refusal sent once more would have the id of the request itself if it were sent to the same server twice. Change: a test; the router already avoids servers that refused a request. Conclusion: the id of a response is enough to tell whose it is.

--- a/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
@@ -339,4 +339,18 @@
 		}
 	}
 
+	// Guards against a second send of a request to the server that refused it: if the
+	// server sends its refusal once more, that would be taken for its response.
+	@Test
+	void requestIsNotSentAgainToServerThatRefusedIt() throws Exception {
+		this.fixture.configure();
+		try (ScriptedServer engine = new ScriptedServer(
+				(request, connection) -> connection.respond(request, 503, "not-run: 1\r\n", ""))) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, engine);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", "b")))
+				.startsWith("HTTP/1.1 503");
+			assertThat(engine.receivedRequests()).hasSize(1);
+		}
+	}
+
 }
