--- a/forward/src/test/java/org/celeryhill/forward/PromptBlockHashesTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/PromptBlockHashesTests.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -37,4 +38,15 @@
 		assertThat(PromptBlockHashes.of(List.of(REQUEST_PART))).isEmpty();
 	}
 
+	// Guards against a request that uses up the memory of this host, because it announces
+	// a prompt longer than any engine can hold.
+	@Test
+	void boundsHashesOfHugePrompt() {
+		List<RequestMetadata.PromptPart> parts = new ArrayList<>();
+		for (int i = 0; i < 100; i++) {
+			parts.add(new RequestMetadata.PromptPart(i, 99_999_999));
+		}
+		assertThat(PromptBlockHashes.of(parts).size()).isLessThanOrEqualTo(65_536);
+	}
+
 }
