Repeat periodic tasks after a failure

Callers would see: a host without lease, host list and new configurations after one failure of its control task. Cause: the event loop does not repeat a task that has thrown, and no line is written. Change: PeriodicTask logs periodic_task_failed and goes on; all tasks at a fixed rate use it. Evidence: PeriodicTaskTests.runsAgainAfterFailure; with scheduleAtFixedRate the task ran once.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -21,6 +21,7 @@
 import org.celeryhill.forward.BackendClient;
 import org.celeryhill.forward.Forwarder;
 import org.celeryhill.forward.IngressServer;
+import org.celeryhill.forward.PeriodicTask;
 import org.celeryhill.forward.ServerEntry;
 import org.celeryhill.platform.JsonHttpClient;
 import org.celeryhill.platform.PlatformEngineClient;
@@ -195,9 +196,9 @@
 		this.ready.listen(this.settings.readyAddress()).sync();
 		this.peerServer.listen(ServerEntryCodec.address(this.settings.peer)).sync();
 		this.operationsServer.listen(this.settings.metricsAddress()).sync();
-		this.loop.scheduleAtFixedRate(this::closeUnusedConnections, HOUSEKEEPING_PERIOD_MS, HOUSEKEEPING_PERIOD_MS,
-				TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(this::runControl, 0, CONTROL_PERIOD_MS, TimeUnit.MILLISECONDS);
+		PeriodicTask.start(this.loop, "close_connections", HOUSEKEEPING_PERIOD_MS, this::closeUnusedConnections);
+		this.loop.execute(this::runControl);
+		PeriodicTask.start(this.loop, "control", CONTROL_PERIOD_MS, this::runControl);
 		LOG.info("edge_started", "host", this.settings.hostId);
 	}
 
@@ -244,8 +245,7 @@
 			LOG.info("edge_stopping", "host", this.settings.hostId, "active", this.forwarder.activeCount());
 			this.front.startDraining();
 			this.leadership.stop();
-			this.loop.scheduleAtFixedRate(() -> stopWhenIdle(onStopped), HOUSEKEEPING_PERIOD_MS / 10,
-					HOUSEKEEPING_PERIOD_MS / 10, TimeUnit.MILLISECONDS);
+			PeriodicTask.start(this.loop, "stop", HOUSEKEEPING_PERIOD_MS / 10, () -> stopWhenIdle(onStopped));
 		});
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -103,10 +102,9 @@
 			TrafficController traffic, ForwardMetrics metrics) {
 		Objects.requireNonNull(headerCodec, "headerCodec");
 		Forwarder forwarder = new Forwarder(loop, client, headerCodec, traffic, metrics);
-		loop.scheduleAtFixedRate(forwarder::scheduleDispatchIfActive, DISPATCH_PERIOD_MS, DISPATCH_PERIOD_MS,
-				TimeUnit.MILLISECONDS);
-		loop.scheduleAtFixedRate(() -> forwarder.promptGuard.removeExpired(System.nanoTime()), EXPIRY_PERIOD_MS,
-				EXPIRY_PERIOD_MS, TimeUnit.MILLISECONDS);
+		PeriodicTask.start(loop, "dispatch", DISPATCH_PERIOD_MS, forwarder::scheduleDispatchIfActive);
+		PeriodicTask.start(loop, "expire_evidence", EXPIRY_PERIOD_MS,
+				() -> forwarder.promptGuard.removeExpired(System.nanoTime()));
 		return forwarder;
 	}
 
