Count responses that break together as one failure of their server

Callers saw: an engine that is back after a crash, or whose connections were reset once, gets no request for up to 16 s; sound requests of its models wait or are refused. Cause: each response that broke at the same moment counted as a further failure in a row and doubled the time. The failures of an ended process also stayed with the server's next one under the same id. Change: a failure of an attempt sent before the server became suspect says nothing new; a restarted server starts without failures. Evidence: RoutingTests.responsesThatBreakTogetherCountAsOneFailure and restartedServerIsNotSuspect failed before and pass.

--- a/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
@@ -73,6 +73,9 @@
 	/** Time until which the server is suspect, in nanoseconds. */
 	long suspectUntilNanos = Long.MIN_VALUE;
 
+	/** When the server became suspect last, in nanoseconds. */
+	long suspectedNanos;
+
 	/** Whether the server became suspect and has not been readmitted yet. */
 	boolean isSuspect;
 
@@ -207,6 +210,25 @@
 		this.unitsSinceReport = 0;
 	}
 
+	/**
+	 * Returns whether the server became suspect after an attempt was sent to it. A
+	 * failure of that attempt then says nothing new.
+	 * @param sentNanos when the attempt was sent, in nanoseconds
+	 * @return true if the server is suspect for a later failure
+	 */
+	boolean wasSuspectedAfter(long sentNanos) {
+		return this.isSuspect && this.suspectedNanos - sentNanos > 0;
+	}
+
+	/**
+	 * Forgets the failures of an earlier process, so that the server is readmitted.
+	 * @param now the current time in nanoseconds
+	 */
+	void forgetFailures(long now) {
+		this.consecutiveFailures = 0;
+		this.suspectUntilNanos = Math.min(this.suspectUntilNanos, now);
+	}
+
 	/**
 	 * Returns whether the engine has restarted since its last known report.
 	 * @param view the latest state
--- a/traffic/src/main/java/org/celeryhill/traffic/OutcomeRecorder.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/OutcomeRecorder.java
@@ -34,7 +34,7 @@
 		else if (outcome != AttemptOutcome.CANCELLED) {
 			attempt.pending.avoid(backend.id);
 		}
-		if (outcome.isBackendFailure()) {
+		if (outcome.isBackendFailure() && !backend.wasSuspectedAfter(attempt.sentNanos)) {
 			backend.consecutiveFailures++;
 			if (outcome == AttemptOutcome.UNREACHABLE || backend.consecutiveFailures >= SUSPECT_AFTER_FAILURES) {
 				pool.markSuspect(backend, now);
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -216,6 +216,7 @@
 		boolean isChanged = backend.update(view) || isNew;
 		if (isRestarted) {
 			backend.cacheEpoch++;
+			backend.forgetFailures(now);
 		}
 		isChanged |= readmitIfDue(backend, now,
 				isRestarted || (!wasAcceptingWork && backend.isAcceptingWork && !isNew));
@@ -292,6 +293,7 @@
 		int doublings = Math.min(4, backend.consecutiveFailures - 1);
 		Duration duration = this.tunables.suspectDuration().multipliedBy(1L << doublings);
 		backend.suspectUntilNanos = now + duration.toNanos();
+		backend.suspectedNanos = now;
 		backend.isSuspect = true;
 		this.suspects.add(backend);
 		this.availabilityListener.onSuspected(backend.id, backend.consecutiveFailures, duration);
--- a/traffic/src/test/java/org/celeryhill/traffic/RoutingTests.java
+++ b/traffic/src/test/java/org/celeryhill/traffic/RoutingTests.java
@@ -76,6 +76,46 @@
 		assertThat(fixture.dispatchSends()).hasSize(1);
 	}
 
+	/**
+	 * Guards against a server that stays without requests for many seconds, because the
+	 * responses that broke at one moment count as failures in a row.
+	 */
+	@Test
+	void responsesThatBreakTogetherCountAsOneFailure() {
+		TrafficFixture fixture = new TrafficFixture(1, TrafficTunables.DEFAULTS, "a");
+		fixture.engine("e1", TrafficFixture.LOCAL_DATA_CENTRE, 20, false, TrafficFixture.MODEL);
+		offerMany(fixture, 6);
+		List<TrafficAction.Send> sends = fixture.dispatchSends();
+		assertThat(sends).hasSize(6);
+		fixture.advance(10);
+		sends.forEach((send) -> fixture.controller.finish(send.attempt(), AttemptOutcome.BROKEN, fixture.now));
+		offerMany(fixture, 1);
+		assertThat(fixture.dispatchSends()).as("suspect after two failures").isEmpty();
+		fixture.advance(2 * TrafficTunables.DEFAULTS.suspectDuration().toMillis() + 1);
+		assertThat(fixture.dispatchSends()).hasSize(1);
+	}
+
+	/**
+	 * Guards against a restarted server that gets no requests because of the failures of
+	 * its earlier process.
+	 */
+	@Test
+	void restartedServerIsNotSuspect() {
+		TrafficFixture fixture = new TrafficFixture(1, TrafficTunables.DEFAULTS, "a");
+		fixture.engine("e1", TrafficFixture.LOCAL_DATA_CENTRE, 20, false, TrafficFixture.MODEL);
+		for (int i = 0; i < 4; i++) {
+			fixture.advance(20_000);
+			offerMany(fixture, 1);
+			TrafficAction.Send send = fixture.dispatchSends().get(0);
+			fixture.controller.finish(send.attempt(), AttemptOutcome.UNREACHABLE, fixture.now);
+		}
+		offerMany(fixture, 1);
+		fixture.engine("e1", TrafficFixture.LOCAL_DATA_CENTRE, 20, false, TrafficFixture.MODEL);
+		assertThat(fixture.dispatchSends()).isEmpty();
+		fixture.restartedEngine("e1", TrafficFixture.LOCAL_DATA_CENTRE, 20, TrafficFixture.MODEL);
+		assertThat(fixture.dispatchSends()).hasSize(1);
+	}
+
 	private static void offerMany(TrafficFixture fixture, int count) {
 		for (int i = 0; i < count; i++) {
 			fixture.controller.offer(fixture.request("a", PriorityClass.NORMAL), fixture.now);
--- a/traffic/src/test/java/org/celeryhill/traffic/TrafficFixture.java
+++ b/traffic/src/test/java/org/celeryhill/traffic/TrafficFixture.java
@@ -111,12 +111,24 @@
 	 * Reports an engine with capacity for about {@code slots} requests of this fixture.
 	 */
 	void engine(String id, DataCentre dataCentre, int slots, boolean isLeaving, ModelId... models) {
+		reportEngine(id, "1", dataCentre, slots, isLeaving, models);
+	}
+
+	/**
+	 * Reports an engine process that was started later than those of {@link #engine}.
+	 */
+	void restartedEngine(String id, DataCentre dataCentre, int slots, ModelId... models) {
+		reportEngine(id, "2", dataCentre, slots, false, models);
+	}
+
+	private void reportEngine(String id, String incarnation, DataCentre dataCentre, int slots, boolean isLeaving,
+			ModelId... models) {
 		long capacity = (long) (slots * 200 / 0.6);
 		List<EngineReport.Resident> residents = new ArrayList<>();
 		for (ModelId model : models) {
 			residents.add(new EngineReport.Resident(model, 1, EngineReport.ResidentState.READY));
 		}
-		EngineReport report = new EngineReport(BackendServerId.of(id), "1", ++this.sequence, 100, 0, residents,
+		EngineReport report = new EngineReport(BackendServerId.of(id), incarnation, ++this.sequence, 100, 0, residents,
 				List.of(), FencingToken.ZERO, true, EngineReport.Role.MIXED, 0, 0, 0, capacity, 8000, 1000, false);
 		this.controller.updateBackend(new BackendView(BackendServerId.of(id), ENGINES, dataCentre, Optional.of(report),
 				0, 0, true, isLeaving), this.now);
