Let whole responses tell for the parts of their prompts

Callers would see: requests with a common first part refused after servers that do not stream have ended for another reason. Cause: only complete streams were recorded as served. Change: a successful whole response is recorded too. Evidence: PromptCrashTests.wholeResponseTellsForItsPrompt failed before (503 for a sound request) and passes.

--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -273,6 +273,9 @@
 	}
 
 	private void forwardResponse() {
+		if (isSuccess()) {
+			recordServed();
+		}
 		finish(AttemptOutcome.COMPLETED);
 		this.call.executionCount++;
 		this.call.mayHaveRun = true;
--- a/forward/src/test/java/org/celeryhill/forward/PromptCrashTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/PromptCrashTests.java
@@ -104,4 +104,33 @@
 		}
 	}
 
+	// Guards against whole responses that do not tell for the parts of their prompts, so
+	// that requests in flight when servers end for another reason come into quarantine.
+	@Test
+	void wholeResponseTellsForItsPrompt() throws Exception {
+		for (int i = 0; i < 8; i++) {
+			ScriptedServer[] self = new ScriptedServer[1];
+			self[0] = new ScriptedServer((request, connection) -> {
+				if (request.header("id", "").startsWith("r9")) {
+					self[0].crash();
+					return;
+				}
+				connection.respond(request, 200, "signed: s\r\n", "ok");
+			});
+			this.engines.add(self[0]);
+			this.fixture.addServer("p" + i, ForwardFixture.PLAIN_SERVICE, self[0]);
+		}
+		for (int i = 0; i < 4; i++) {
+			assertThat(sendPlain("r1" + i, "11,22,5")).startsWith("HTTP/1.1 200");
+			assertThat(sendPlain("r9" + i, "11,22,6")).startsWith("HTTP/1.1 502");
+			Thread.sleep(120);
+		}
+		assertThat(sendPlain("r2", "11,22,5")).startsWith("HTTP/1.1 200");
+	}
+
+	private String sendPlain(String id, String parts) throws IOException {
+		String request = ForwardFixture.promptRequest("/once/x", id, parts);
+		return this.fixture.sendAndReadAll(request.replace("model: " + ForwardFixture.MODEL + "\r\n", ""));
+	}
+
 }
