Decide on prompt parts after all evidence of a message

Cause: the decision was made after each piece, before the successes in the same message were known. Evidence: PromptQuarantineTests.decidesAfterAllEvidenceOfMessage.

--- a/edge/src/main/java/org/celeryhill/edge/EvidenceExchange.java
+++ b/edge/src/main/java/org/celeryhill/edge/EvidenceExchange.java
@@ -137,12 +137,14 @@
 
 	private void decodeItems(JsonNode node) {
 		long now = System.nanoTime();
+		List<CrashEvidence> evidence = new ArrayList<>();
 		for (JsonNode item : node.path("items")) {
 			long ageMillis = Math.max(0, item.path("ageMillis").asLong());
 			if (ageMillis < MAX_AGE.toMillis()) {
-				this.guard.addFromPeer(decode(item, now - TimeUnit.MILLISECONDS.toNanos(ageMillis)));
+				evidence.add(decode(item, now - TimeUnit.MILLISECONDS.toNanos(ageMillis)));
 			}
 		}
+		this.guard.addFromPeer(evidence);
 	}
 
 	private static CrashEvidence decode(JsonNode node, long nanos) {
--- a/forward/src/main/java/org/celeryhill/forward/PromptGuard.java
+++ b/forward/src/main/java/org/celeryhill/forward/PromptGuard.java
@@ -71,9 +71,10 @@
 	 * Adds evidence of another host.
 	 * @param evidence the evidence with times on the clock of this host, not null
 	 */
-	public void addFromPeer(CrashEvidence evidence) {
-		if (this.quarantine.add(evidence)) {
-			logEvidence(evidence, "peer");
+	public void addFromPeer(List<CrashEvidence> evidence) {
+		List<CrashEvidence> added = this.quarantine.addAll(evidence);
+		if (!added.isEmpty()) {
+			added.forEach((one) -> logEvidence(one, "peer"));
 			handleDecisions();
 		}
 	}
--- a/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
@@ -76,17 +76,30 @@
 	private long sequence;
 
 	/**
-	 * Adds evidence.
+	 * Adds a piece of evidence.
 	 * @param evidence the evidence, not null
 	 * @return whether any of it is new
 	 */
 	public boolean add(CrashEvidence evidence) {
-		boolean isNew = (evidence instanceof CrashEvidence.Crash crash) ? addCrash(crash)
-				: addSuccess((CrashEvidence.Success) evidence);
-		if (isNew) {
+		return !addAll(List.of(evidence)).isEmpty();
+	}
+
+	/**
+	 * Adds evidence that belongs together, and decides after the last piece only.
+	 * @param evidence the evidence, not null
+	 * @return the pieces that are new, never null
+	 */
+	public List<CrashEvidence> addAll(List<CrashEvidence> evidence) {
+		List<CrashEvidence> added = evidence.stream().filter(this::addWithoutDecision).toList();
+		if (!added.isEmpty()) {
 			decide();
 		}
-		return isNew;
+		return added;
+	}
+
+	private boolean addWithoutDecision(CrashEvidence evidence) {
+		return (evidence instanceof CrashEvidence.Crash crash) ? addCrash(crash)
+				: addSuccess((CrashEvidence.Success) evidence);
 	}
 
 	private boolean addCrash(CrashEvidence.Crash crash) {
--- a/traffic/src/test/java/org/celeryhill/traffic/PromptQuarantineTests.java
+++ b/traffic/src/test/java/org/celeryhill/traffic/PromptQuarantineTests.java
@@ -173,4 +173,18 @@
 		assertThat(this.quarantine.digest()).isZero();
 	}
 
+	// Guards against a quarantine that lasts only until the rest of a message is read,
+	// and
+	// ends requests meanwhile.
+	@Test
+	void decidesAfterAllEvidenceOfMessage() {
+		List<CrashEvidence> message = new ArrayList<>();
+		for (int i = 0; i < 3; i++) {
+			message.add(crash("s" + i, 1000 + 200 * i, List.of(FIRST)));
+		}
+		message.add(new CrashEvidence.Success(FIRST, millis(500)));
+		assertThat(this.quarantine.addAll(message)).hasSize(4);
+		assertThat(this.quarantine.quarantined()).isEmpty();
+	}
+
 }
