Do not send a claimed call after the deadline of its claim

Callers would see: a booking that runs though its outcome was given as unknown, and a second run once the claim is deleted. Cause: ClaimStore.Acquired.canSend was asked by the fuzzer only; a slow queue, a paused process or a late retry sent the call all the same. Change: ClaimedCall asks it right before each send, withdraws the claim otherwise and answers that the call was not run. Evidence: ClaimTests.callIsNotSentAfterDeadlineOfItsClaim got 200 and one run before, and passes.

--- a/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
+++ b/entry/src/main/java/org/celeryhill/entry/ClaimedCall.java
@@ -128,6 +128,14 @@
 	}
 
 	private void sendAttempt(TrafficAction.Send send) {
+		// Other callers take the outcome as unknown after the deadline of the claim.
+		if (!this.claim.canSend(this.context.timer().nanoTime())) {
+			LOG.info("claim_expired", "request", this.request.api().id(), "attempt", send.attempt());
+			this.router.finishAttempt(send.attempt(), AttemptOutcome.CANCELLED);
+			withdrawClaim(
+					new TrafficAction.Refuse(this.trafficRequest.id(), TrafficAction.Reason.DEADLINE, RETRY_AFTER));
+			return;
+		}
 		this.sendCount++;
 		PlainService.CallResult result = this.context.send(send.backend(), PlainCallHandler.toCall(send.attempt(),
 				this.request.api().id(), this.request.target(), this.request.body()));
--- a/entry/src/test/java/org/celeryhill/entry/ClaimTests.java
+++ b/entry/src/test/java/org/celeryhill/entry/ClaimTests.java
@@ -3,7 +3,9 @@
 import java.lang.reflect.Proxy;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
@@ -176,6 +178,41 @@
 		return all;
 	}
 
+	/**
+	 * Guards against a call that is sent after the deadline of its claim, when other
+	 * daemons take its outcome as unknown and the claim may be deleted, so that it could
+	 * run twice.
+	 */
+	@Test
+	void callIsNotSentAfterDeadlineOfItsClaim() {
+		this.environment.controllerDecorator = (inner) -> withDelayedSends(inner, java.time.Duration.ofMillis(700));
+		TestCaller delayed = new TestCaller(
+				this.environment.startDaemon("entry-4", "--claim-timeout=PT0.4S", "--call-timeout=PT0.3S"),
+				TestEnvironment.API_KEY_A);
+		HttpResponse<String> response = book(delayed, "k10");
+		assertThat(response.statusCode()).as(response.body()).isEqualTo(503);
+		assertThat(execution(response)).isEqualTo("not_run");
+		TestEnvironment.sleep(java.time.Duration.ofMillis(300));
+		assertThat(this.environment.countExecutions("k10")).isZero();
+	}
+
+	private static TrafficController withDelayedSends(TrafficController inner, java.time.Duration delay) {
+		Map<TrafficAction, Long> dueNanos = new LinkedHashMap<>();
+		return (TrafficController) Proxy.newProxyInstance(ClaimTests.class.getClassLoader(),
+				new Class<?>[] { TrafficController.class }, (proxy, method, args) -> {
+					Object result = method.invoke(inner, args);
+					if (!"dispatch".equals(method.getName())) {
+						return result;
+					}
+					long now = System.nanoTime();
+					((List<?>) result).forEach((action) -> dueNanos.put((TrafficAction) action, now + delay.toNanos()));
+					List<TrafficAction> due = new ArrayList<>(dueNanos.keySet());
+					due.removeIf((action) -> dueNanos.get(action) > now);
+					dueNanos.keySet().removeAll(due);
+					return due;
+				});
+	}
+
 	/**
 	 * Guards against a repeated key that runs again on the other system when the split
 	 * changes.
