Keep abandoned and ended attempts from claiming again

Callers would see: a call that runs after they were told that it was not run. Cause: ClaimStore.abandon and endClaim took the attempt out of usedAttempts, although the field promises that it stays. Change: the latest 100,000 attempts stay; a used attempt that finds no claim of its own gets 'nothing written'. Evidence: ClaimStoreTests.abandonedAttemptDoesNotAcquireClaim failed before (Acquired) and passes.

--- a/state/src/main/java/org/celeryhill/state/ClaimStore.java
+++ b/state/src/main/java/org/celeryhill/state/ClaimStore.java
@@ -2,12 +2,12 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
 
 import org.celeryhill.base.AttemptId;
@@ -41,6 +41,12 @@
 	 */
 	private static final int MAX_OBSERVED_CLAIMS = 10_000;
 
+	/**
+	 * Number of latest attempts that are kept, more than one process sends while any of
+	 * them may repeat its claim.
+	 */
+	private static final int MAX_USED_ATTEMPTS = 100_000;
+
 	/** Writer of the rows. */
 	private final ConditionalWriter writer;
 
@@ -56,7 +62,13 @@
 	/**
 	 * Attempts that have acquired or abandoned their claim and must not acquire it again.
 	 */
-	private final Set<AttemptId> usedAttempts = ConcurrentHashMap.newKeySet();
+	private final Set<AttemptId> usedAttempts = Collections
+		.synchronizedSet(Collections.newSetFromMap(new LinkedHashMap<>() {
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<AttemptId, Boolean> eldest) {
+				return size() > MAX_USED_ATTEMPTS;
+			}
+		}));
 
 	/**
 	 * Monotonic time at which a running claim of another process was first seen, by
@@ -106,6 +118,7 @@
 		Claim newClaim = Claim.running(attempt, requestDigest, system, currentEpoch.get());
 		RowKey row = rowKey(organisation, key);
 		boolean mayBeWritten = false;
+		boolean isUsed = this.usedAttempts.contains(attempt);
 		for (int round = 0; round < MAX_ROUNDS; round++) {
 			RowSnapshot snapshot = load(row);
 			if (snapshot.failure().isPresent()) {
@@ -116,6 +129,9 @@
 			if (existing.isPresent()) {
 				return existing.get();
 			}
+			if (isUsed) {
+				return StoreUnavailable.nothingWritten("the attempt has ended");
+			}
 			Claim next = snapshot.claim().map((claim) -> claim.reclaim(attempt, newClaim.epoch())).orElse(newClaim);
 			ConditionalWriter.Outcome outcome = write(row, snapshot, next);
 			if (outcome instanceof ConditionalWriter.Applied) {
@@ -191,7 +207,6 @@
 				return snapshot.failure().get().withPossibleWrite(mayBeWritten);
 			}
 			if (snapshot.claim().isPresent() && !snapshot.claim().get().isRunningBy(attempt)) {
-				this.usedAttempts.remove(attempt);
 				return new Stored();
 			}
 			Claim next = snapshot.claim().map(Claim::asWithdrawn).orElse(withdrawnClaim);
@@ -202,7 +217,6 @@
 			}
 			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 			if (outcome instanceof ConditionalWriter.Applied) {
-				this.usedAttempts.remove(attempt);
 				return new Stored();
 			}
 		}
@@ -278,7 +292,6 @@
 				return snapshot.failure().get().withPossibleWrite(mayBeWritten);
 			}
 			if (snapshot.claim().isEmpty() || !snapshot.claim().get().isRunningBy(acquired.claim().attempt())) {
-				this.usedAttempts.remove(acquired.claim().attempt());
 				return (snapshot.claim().equals(Optional.of(next))) ? new Stored() : new Superseded();
 			}
 			ConditionalWriter.Outcome outcome = write(acquired.row(), snapshot, next);
@@ -288,7 +301,6 @@
 			}
 			mayBeWritten |= StoreUnavailable.mayBeWritten(outcome);
 			if (outcome instanceof ConditionalWriter.Applied) {
-				this.usedAttempts.remove(acquired.claim().attempt());
 				return new Stored();
 			}
 		}
--- a/state/src/test/java/org/celeryhill/state/ClaimStoreTests.java
+++ b/state/src/test/java/org/celeryhill/state/ClaimStoreTests.java
@@ -82,6 +82,17 @@
 		assertThat(claim(this.secondStore, "b", "digest", ServingSystem.NEW)).isInstanceOf(ClaimStore.Acquired.class);
 	}
 
+	/**
+	 * Guards against a call that is sent although its caller was told that it was not
+	 * run, as its attempt claims the key again after it was abandoned.
+	 */
+	@Test
+	void abandonedAttemptDoesNotAcquireClaim() {
+		this.firstStore.abandon(ORGANISATION, "key", AttemptId.of("a"), "digest", ServingSystem.NEW);
+		assertThat(claim(this.firstStore, "a", "digest", ServingSystem.NEW)).isInstanceOf(StoreUnavailable.class);
+		assertThat(claim(this.secondStore, "b", "digest", ServingSystem.NEW)).isInstanceOf(ClaimStore.Acquired.class);
+	}
+
 	/**
 	 * Guards against a call that is sent twice because one attempt acquires its claim
 	 * twice.
