Divide the burst of second attempts among the hosts

Callers would see: many repeated requests at servers that already fail, when many hosts repeat at the same time. Cause: each host had a burst of ten, 880 with 88 hosts, where the platform allows 216 beyond a fifth of the requests in ten seconds. Evidence: RetryAndHedgeTests.retriesOfAllDaemonsStayWithinSharedBudget: 968 of 568 allowed at 88 hosts and 4,400 of 1,816 at 400 with a burst of ten, within the budget now.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -133,7 +133,8 @@
 		this.client = BackendClient.create(this.loop);
 		this.trafficController = DefaultTrafficController.create(HostId.of(settings.hostId),
 				DataCentre.of(settings.dataCentre), UUID.randomUUID().toString().substring(0, 8),
-				settings.hostId.hashCode(), trafficTunables(settings.retryRatio), new AvailabilityLog());
+				settings.hostId.hashCode(), trafficTunables(settings.retryRatio, settings.retrySlack),
+				new AvailabilityLog());
 		this.forwarder = Forwarder.create(this.loop, this.client, new PlatformHeaderCodec(), this.trafficController,
 				this.metrics);
 		this.front = IngressServer.create(this.loop, this.forwarder);
@@ -162,8 +163,8 @@
 		this.peerServer = IngressServer.create(this.loop, this.peerService);
 	}
 
-	static TrafficTunables trafficTunables(double retryRatio) {
-		return new TrafficTunables(SUBSET_SIZE, QUEUE_LIMIT, HEDGE_FRACTION, retryRatio * LOCAL_RETRY_SHARE,
+	static TrafficTunables trafficTunables(double retryRatio, double retrySlack) {
+		return new TrafficTunables(SUBSET_SIZE, QUEUE_LIMIT, HEDGE_FRACTION, retryRatio * LOCAL_RETRY_SHARE, retrySlack,
 				MAX_PEER_AGE, SUSPICION_TIME, SLOW_START_TIME, ADAPTER_LOAD_TIME, MAX_FIRST_TOKEN_WAIT,
 				DECISION_LOG_SIZE);
 	}
--- a/edge/src/main/java/org/celeryhill/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeSettings.java
@@ -60,6 +60,10 @@
 			description = "Retry budget as a fraction of the requests, from 0 to 1; each host uses half of it.")
 	double retryRatio;
 
+	@Option(names = "--retry-slack", defaultValue = "52",
+			description = "Retries beyond that fraction that all hosts together may send at once.")
+	double retrySlack;
+
 	/**
 	 * Validates the settings.
 	 * @return a finding for each invalid setting, empty if all are valid, never null
@@ -79,6 +83,9 @@
 		if (!(this.retryRatio >= 0 && this.retryRatio <= 1)) {
 			findings.add(Finding.error("settings", 0, "--retry-ratio", "must be between 0 and 1"));
 		}
+		if (!(this.retrySlack >= 0)) {
+			findings.add(Finding.error("settings", 0, "--retry-slack", "must not be negative"));
+		}
 		if (this.metricsPort < 0 || this.metricsPort > 65_535) {
 			findings.add(Finding.error("settings", 0, "--metrics-port", "must be between 0 and 65535"));
 		}
--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -158,7 +158,7 @@
 			ControlFixture fixture = StoreFollowerTests.this.fixture;
 			this.forwarder = Forwarder.create(fixture.loop.loop(), BackendClient.create(fixture.loop.loop()),
 					new PlatformHeaderCodec(), DefaultTrafficController.create(HostId.of("h"), DataCentre.of("d"),
-							"life", 1, EdgeDaemon.trafficTunables(0.2)),
+							"life", 1, EdgeDaemon.trafficTunables(0.2, 52)),
 					new EdgeMetrics());
 			this.configuration = new ConfigurationHolder(this.forwarder);
 			this.follower = StoreFollower.create(StoreClient.create(fixture.loop.httpClient(), fixture.store.address()),
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -33,6 +33,11 @@
 	/** Largest number of retries that may be sent in one burst. */
 	private static final double RETRY_BURST = 10;
 
+	/**
+	 * Retries in one burst while the number of the daemons that share them is unknown.
+	 */
+	private static final double MIN_RETRY_BURST = 1;
+
 	/** Time between updates of the share of this daemon, in nanoseconds. */
 	private static final long SHARE_UPDATE_INTERVAL_NANOS = 250_000_000L;
 
@@ -101,7 +106,7 @@
 		this.router = new Router(seed, dataCentre, this.prefixIndex, tunables.adapterLoadTime().toNanos() / 1e9);
 		this.admissionPolicy = new AdmissionPolicy(tunables.queueLimit());
 		this.hedgePolicy = new HedgePolicy(tunables.hedgeFraction());
-		this.retryBudget = new TokenBucket(tunables.retryFraction(), (tunables.retryFraction() > 0) ? RETRY_BURST : 0);
+		this.retryBudget = new TokenBucket(tunables.retryFraction(), initialRetryBurst(tunables));
 		this.usage = new UsageTracker(host, dataCentre, incarnation, tunables.maxPeerAge().toNanos());
 		this.decisionLog = new DecisionLog(tunables.decisionLogSize());
 		this.attemptPrefix = host.value() + "." + incarnation + ".";
@@ -455,8 +460,19 @@
 		this.usage.recordPeerTotals(totals, now, this::chargePeerUsage);
 	}
 
+	private static double initialRetryBurst(TrafficTunables tunables) {
+		if (tunables.retryFraction() == 0) {
+			return 0;
+		}
+		return (tunables.sharedRetryBurst() > 0) ? MIN_RETRY_BURST : RETRY_BURST;
+	}
+
 	@Override
 	public void recordGroupUsage(UsageTotals totals, int daemons, long now) {
+		if (this.tunables.sharedRetryBurst() > 0 && this.tunables.retryFraction() > 0) {
+			double share = this.tunables.sharedRetryBurst() / (daemons + 1);
+			this.retryBudget.setBurst(Math.max(MIN_RETRY_BURST, Math.min(RETRY_BURST, share)));
+		}
 		this.usage.recordGroupTotals(totals, daemons, now, this::chargePeerUsage);
 	}
 
--- a/traffic/src/main/java/org/celeryhill/traffic/TokenBucket.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/TokenBucket.java
@@ -11,7 +11,7 @@
 	private final double permitsPerSend;
 
 	/** Largest number of permits kept. */
-	private final double burst;
+	private double burst;
 
 	/** Available permits. */
 	private double permits;
@@ -27,6 +27,15 @@
 		this.permits = burst;
 	}
 
+	/**
+	 * Changes the largest number of permits kept. Permits beyond it are lost.
+	 * @param limit the number
+	 */
+	void setBurst(double limit) {
+		this.burst = limit;
+		this.permits = Math.min(this.permits, limit);
+	}
+
 	/** Adds the permits for one regular send. */
 	void deposit() {
 		this.permits = Math.min(this.burst, this.permits + this.permitsPerSend);
--- a/traffic/src/main/java/org/celeryhill/traffic/TrafficTunables.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/TrafficTunables.java
@@ -13,6 +13,8 @@
  * priority class, at least 1
  * @param hedgeFraction the hedges allowed per urgent request, from 0 to 1
  * @param retryFraction the retries allowed per first attempt, from 0 to 1
+ * @param sharedRetryBurst the retries beyond that fraction that all daemons together may
+ * send in one burst, zero if each daemon has a burst of its own
  * @param maxPeerAge the age after which the usage totals of another daemon are ignored,
  * not null, positive
  * @param suspectDuration the time for which a backend server receives no requests after a
@@ -25,11 +27,11 @@
  * @param decisionLogSize the number of decisions kept for explanations, at least 1
  */
 public record TrafficTunables(int subsetSize, int queueLimit, double hedgeFraction, double retryFraction,
-		Duration maxPeerAge, Duration suspectDuration, Duration slowStartDuration, Duration adapterLoadTime,
-		Duration maxFirstTokenWait, int decisionLogSize) {
+		double sharedRetryBurst, Duration maxPeerAge, Duration suspectDuration, Duration slowStartDuration,
+		Duration adapterLoadTime, Duration maxFirstTokenWait, int decisionLogSize) {
 
 	/** Values used unless a deployment sets others. */
-	public static final TrafficTunables DEFAULTS = new TrafficTunables(24, 4000, 0.02, 0.1, Duration.ofSeconds(10),
+	public static final TrafficTunables DEFAULTS = new TrafficTunables(24, 4000, 0.02, 0.1, 0, Duration.ofSeconds(10),
 			Duration.ofSeconds(2), Duration.ofSeconds(10), Duration.ofMillis(10), Duration.ZERO, 4096);
 
 	/**
@@ -49,6 +51,9 @@
 		if (!(hedgeFraction >= 0 && hedgeFraction <= 1) || !(retryFraction >= 0 && retryFraction <= 1)) {
 			throw new IllegalArgumentException("hedgeFraction and retryFraction must be from 0 to 1");
 		}
+		if (!(sharedRetryBurst >= 0)) {
+			throw new IllegalArgumentException("sharedRetryBurst must not be negative");
+		}
 		if (!isPositive(maxPeerAge) || !isPositive(suspectDuration) || !isPositive(slowStartDuration)
 				|| !isPositive(adapterLoadTime)) {
 			throw new IllegalArgumentException(
@@ -67,9 +72,9 @@
 	 * @return the copy, never null
 	 */
 	public TrafficTunables withQueueLimit(int limit) {
-		return new TrafficTunables(this.subsetSize, limit, this.hedgeFraction, this.retryFraction, this.maxPeerAge,
-				this.suspectDuration, this.slowStartDuration, this.adapterLoadTime, this.maxFirstTokenWait,
-				this.decisionLogSize);
+		return new TrafficTunables(this.subsetSize, limit, this.hedgeFraction, this.retryFraction,
+				this.sharedRetryBurst, this.maxPeerAge, this.suspectDuration, this.slowStartDuration,
+				this.adapterLoadTime, this.maxFirstTokenWait, this.decisionLogSize);
 	}
 
 	/**
@@ -78,9 +83,20 @@
 	 * @return the copy, never null
 	 */
 	public TrafficTunables withHedgeFraction(double fraction) {
-		return new TrafficTunables(this.subsetSize, this.queueLimit, fraction, this.retryFraction, this.maxPeerAge,
-				this.suspectDuration, this.slowStartDuration, this.adapterLoadTime, this.maxFirstTokenWait,
-				this.decisionLogSize);
+		return new TrafficTunables(this.subsetSize, this.queueLimit, fraction, this.retryFraction,
+				this.sharedRetryBurst, this.maxPeerAge, this.suspectDuration, this.slowStartDuration,
+				this.adapterLoadTime, this.maxFirstTokenWait, this.decisionLogSize);
+	}
+
+	/**
+	 * Returns a copy with another budget of retries that all daemons share.
+	 * @param burst the retries beyond the fraction that they may send in one burst
+	 * @return the copy, never null
+	 */
+	public TrafficTunables withSharedRetryBurst(double burst) {
+		return new TrafficTunables(this.subsetSize, this.queueLimit, this.hedgeFraction, this.retryFraction, burst,
+				this.maxPeerAge, this.suspectDuration, this.slowStartDuration, this.adapterLoadTime,
+				this.maxFirstTokenWait, this.decisionLogSize);
 	}
 
 	/**
@@ -91,8 +107,8 @@
 	 */
 	public TrafficTunables withMaxFirstTokenWait(Duration wait) {
 		return new TrafficTunables(this.subsetSize, this.queueLimit, this.hedgeFraction, this.retryFraction,
-				this.maxPeerAge, this.suspectDuration, this.slowStartDuration, this.adapterLoadTime, wait,
-				this.decisionLogSize);
+				this.sharedRetryBurst, this.maxPeerAge, this.suspectDuration, this.slowStartDuration,
+				this.adapterLoadTime, wait, this.decisionLogSize);
 	}
 
 }
--- a/traffic/src/test/java/org/celeryhill/traffic/RetryAndHedgeTests.java
+++ b/traffic/src/test/java/org/celeryhill/traffic/RetryAndHedgeTests.java
@@ -10,9 +10,13 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.celeryhill.base.HostId;
 import org.celeryhill.base.PriorityClass;
 import org.celeryhill.base.RequestId;
+import org.celeryhill.base.UsageTotals;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -157,4 +161,59 @@
 		assertThat(fixture.controller.dump()).containsEntry("attempts", 1).containsKey("services");
 	}
 
+	/**
+	 * Guards against daemons that each have a burst of retries of their own, so that all
+	 * of them together send more than the budget that they share.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 6, 88, 400 })
+	void retriesOfAllDaemonsStayWithinSharedBudget(int daemons) {
+		int requests = 20;
+		double slack = (daemons < 10) ? 52 : 216;
+		int retries = 0;
+		for (int i = 0; i < daemons; i++) {
+			TrafficFixture fixture = new TrafficFixture(i, TrafficTunables.DEFAULTS.withSharedRetryBurst(slack), "a");
+			fixture.controller.recordGroupUsage(groupTotals(), daemons - 1, fixture.now);
+			completeRequests(fixture, 150);
+			fixture.advance(20_000);
+			retries += countRetries(fixture, requests);
+		}
+		assertThat(retries).isLessThanOrEqualTo((int) (0.2 * daemons * requests + slack));
+		assertThat(retries).isGreaterThanOrEqualTo(daemons);
+	}
+
+	private static UsageTotals groupTotals() {
+		return new UsageTotals(HostId.of("holder"), TrafficFixture.LOCAL_DATA_CENTRE, "1", 1, Map.of());
+	}
+
+	// Sends requests without failures, so that the daemon has as many permits as it may
+	// keep.
+	private static void completeRequests(TrafficFixture fixture, int count) {
+		fixture.engine("sound", TrafficFixture.LOCAL_DATA_CENTRE, 20, false, TrafficFixture.MODEL);
+		for (int i = 0; i < count; i++) {
+			fixture.controller.offer(fixture.request("a", PriorityClass.NORMAL), fixture.now);
+			fixture.dispatchSends()
+				.forEach((send) -> fixture.controller.finish(send.attempt(), AttemptOutcome.COMPLETED, fixture.now));
+		}
+	}
+
+	private static int countRetries(TrafficFixture fixture, int requests) {
+		int retries = 0;
+		for (int j = 0; j < requests; j++) {
+			for (int server = 0; server < 3; server++) {
+				fixture.engine("e" + j + "-" + server, TrafficFixture.LOCAL_DATA_CENTRE, 20, false,
+						TrafficFixture.MODEL);
+			}
+			TrafficRequest request = fixture.request("a", PriorityClass.NORMAL);
+			fixture.controller.offer(request, fixture.now);
+			TrafficAction.Send send = fixture.dispatchSends().get(0);
+			fixture.controller.finish(send.attempt(), AttemptOutcome.BROKEN, fixture.now);
+			if (fixture.controller.retry(request, send.attempt(), fixture.now).isEmpty()) {
+				retries++;
+				fixture.controller.cancel(request.id());
+			}
+		}
+		return retries;
+	}
+
 }
