Report a host as ready only when it knows the backend servers

Callers saw: 503 with NO_BACKEND from a host that had just said it was ready (EdgeDaemonTests.servesWhileStoreIsUnavailable, seen once). Cause: EdgeDaemon.isReady asked for the configuration only; the table of backend servers may be read later, or not at all. Change: ready means that both were read, from the store or from the lease holder; readiness is not lost again when the store is away. Evidence: EdgeDaemonTests.isNotReadyBeforeBackendServersAreKnown failed before (200 at once) and passes.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -211,7 +211,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.isStopping && this.forwarder.table().isPresent();
+		return !this.isStopping && this.forwarder.table().isPresent() && this.storeFollower.areServersKnown();
 	}
 
 	private void closeUnusedConnections() {
--- a/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
@@ -93,6 +93,12 @@
 		return this.operatorFeed.isStoreUnavailable();
 	}
 
+	// Returns whether this host has read the table of backend servers, from the store or
+	// from the holder.
+	boolean areServersKnown() {
+		return this.serverFeed.isInitialized();
+	}
+
 	// Returns the version up to which this host knows the rows of backend servers.
 	long serverVersion() {
 		return this.serverFeed.version();
--- a/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EdgeDaemonTests.java
@@ -74,6 +74,28 @@
 			.startsWith("HTTP/1.1 200");
 	}
 
+	// Guards against a host that takes requests before it knows any backend server, and
+	// refuses them.
+	@Test
+	void isNotReadyBeforeBackendServersAreKnown() throws Exception {
+		this.store.setRefusedTable(PlatformTables.BACKEND_SERVERS_TABLE);
+		this.fixture.storeConfiguration(3, "/p/");
+		EdgeSettings settings = this.fixture.settings("h1");
+		this.fixture.start(settings);
+		long end = System.nanoTime() + 2_000_000_000L;
+		while (System.nanoTime() < end) {
+			assertThat(ready(settings)).startsWith("HTTP/1.1 503");
+			Thread.sleep(50);
+		}
+		this.store.setRefusedTable("");
+		DaemonFixture.awaitReady(settings);
+		this.store.setRefusedTable(PlatformTables.BACKEND_SERVERS_TABLE);
+		Thread.sleep(1000);
+		assertThat(ready(settings)).as("stays ready").startsWith("HTTP/1.1 200");
+		assertThat(DaemonFixture.exchange(settings.front, FakePlatformService.request("/p/x", "a1")))
+			.startsWith("HTTP/1.1 200");
+	}
+
 	// Guards against requests that fail because the store is unavailable.
 	@Test
 	void servesWhileStoreIsUnavailable() throws Exception {
