--- a/edge/src/main/java/org/celeryhill/edge/EdgeMain.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeMain.java
@@ -80,7 +80,7 @@
 		EdgeMain reloaded = new EdgeMain();
 		try {
 			new CommandLine(reloaded).parseArgs(withSettingsFile(new String[0]));
-			LOG.info("settings_reloaded", "host", reloaded.settings.hostId, "findings",
+			LOG.info("settings_checked", "host", reloaded.settings.hostId, "applied", "no", "findings",
 					reloaded.settings.check().size());
 		}
 		catch (CommandLine.ParameterException ex) {
