--- a/traffic/src/main/java/org/celeryhill/traffic/CrashEvidence.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/CrashEvidence.java
@@ -1,5 +1,6 @@
 package org.celeryhill.traffic;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -46,6 +47,16 @@
 			repeatedParts = Set.copyOf(repeatedParts);
 		}
 
+		/**
+		 * Returns the parts of all candidates.
+		 * @return the hashes of the parts, never null
+		 */
+		public Set<Long> parts() {
+			Set<Long> parts = new HashSet<>();
+			this.candidates.forEach(parts::addAll);
+			return parts;
+		}
+
 		@Override
 		public Crash at(long newNanos) {
 			return new Crash(this.server, this.candidates, this.repeatedParts, newNanos);
--- a/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
@@ -6,7 +6,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,9 +37,6 @@
 	 */
 	private static final long MIN_CRASH_DISTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-	/** Difference from which on a success is taken for a later one. */
-	private static final long MIN_SUCCESS_DISTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
 	/** Time after the last crash of a part for which its crashes are kept. */
 	private static final long LIFETIME_NANOS = TimeUnit.MINUTES.toNanos(10);
 
@@ -48,33 +44,12 @@
 
 	private static final long MAX_PROBE_INTERVAL_NANOS = TimeUnit.MINUTES.toNanos(5);
 
-	/** 2<sup>64</sup> divided by the golden ratio, as in Fibonacci hashing. */
-	private static final long DIGEST_MULTIPLIER = 0x9E3779B97F4A7C15L;
-
-	private static final int MAX_CRASHES = 64;
-
-	private static final int MAX_CANDIDATES = 32;
-
-	private static final int MAX_SERVED_PARTS = 4096;
-
-	private final Map<String, Entry<CrashEvidence.Crash>> crashes = new LinkedHashMap<>();
-
-	private final Map<Long, Entry<CrashEvidence.Success>> successes = new HashMap<>();
-
-	/** When the last served request with a part was sent, by part. */
-	private final Map<Long, Long> servedParts = new LinkedHashMap<>(16, 0.75f, true) {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > MAX_SERVED_PARTS;
-		}
-	};
+	private final EvidenceArchive archive = new EvidenceArchive();
 
 	private final Map<Long, Long> probeNanos = new HashMap<>();
 
 	private Map<Long, Verdict> verdicts = Map.of();
 
-	private long sequence;
-
 	/**
 	 * Adds a piece of evidence.
 	 * @param evidence the evidence, not null
@@ -90,73 +65,18 @@
 	 * @return the pieces that are new, never null
 	 */
 	public List<CrashEvidence> addAll(List<CrashEvidence> evidence) {
-		List<CrashEvidence> added = evidence.stream().filter(this::addWithoutDecision).toList();
+		List<CrashEvidence> added = evidence.stream().filter(this.archive::add).toList();
 		if (!added.isEmpty()) {
+			this.archive.removeExcess(serversOfVerdicts());
 			decide();
 		}
 		return added;
 	}
 
-	private boolean addWithoutDecision(CrashEvidence evidence) {
-		return (evidence instanceof CrashEvidence.Crash crash) ? addCrash(crash)
-				: addSuccess((CrashEvidence.Success) evidence);
-	}
-
-	private boolean addCrash(CrashEvidence.Crash crash) {
-		Entry<CrashEvidence.Crash> known = this.crashes.get(crash.server());
-		CrashEvidence.Crash merged = (known != null) ? merge(known.evidence, crash) : crash;
-		if (merged.candidates().isEmpty() || (known != null && merged.equals(known.evidence))) {
-			return false;
-		}
-		this.crashes.put(crash.server(), new Entry<>(merged, ++this.sequence));
-		if (this.crashes.size() > MAX_CRASHES) {
-			removeOldestCrash();
-		}
-		crash.candidates().forEach(this::addEarlierSuccesses);
-		return true;
-	}
-
-	private static CrashEvidence.Crash merge(CrashEvidence.Crash known, CrashEvidence.Crash other) {
-		Set<List<Long>> candidates = new HashSet<>(known.candidates());
-		for (List<Long> candidate : other.candidates()) {
-			if (candidates.size() < MAX_CANDIDATES) {
-				candidates.add(candidate);
-			}
-		}
-		Set<Long> repeatedParts = new HashSet<>(known.repeatedParts());
-		repeatedParts.addAll(other.repeatedParts());
-		return new CrashEvidence.Crash(known.server(), candidates, repeatedParts, known.nanos());
-	}
-
-	// Removes the oldest crash that tells against no part in quarantine, else the oldest.
-	private void removeOldestCrash() {
-		Set<String> needed = new HashSet<>();
-		this.verdicts.values().forEach((verdict) -> needed.addAll(verdict.servers()));
-		Comparator<CrashEvidence.Crash> byNeed = Comparator.comparing((crash) -> needed.contains(crash.server()));
-		this.crashes.values()
-			.stream()
-			.map(Entry::evidence)
-			.min(byNeed.thenComparingLong(CrashEvidence.Crash::nanos))
-			.ifPresent((crash) -> this.crashes.remove(crash.server()));
-	}
-
-	// Tells the other hosts which parts of a candidate this host has seen served before.
-	private void addEarlierSuccesses(List<Long> candidate) {
-		for (Long part : candidate) {
-			Long servedNanos = this.servedParts.get(part);
-			if (servedNanos != null) {
-				addSuccess(new CrashEvidence.Success(part, servedNanos));
-			}
-		}
-	}
-
-	private boolean addSuccess(CrashEvidence.Success success) {
-		Entry<CrashEvidence.Success> known = this.successes.get(success.part());
-		if (known != null && success.nanos() - known.evidence.nanos() < MIN_SUCCESS_DISTANCE_NANOS) {
-			return false;
-		}
-		this.successes.put(success.part(), new Entry<>(success, ++this.sequence));
-		return true;
+	private Set<String> serversOfVerdicts() {
+		Set<String> servers = new HashSet<>();
+		this.verdicts.values().forEach((verdict) -> servers.addAll(verdict.servers()));
+		return servers;
 	}
 
 	/**
@@ -166,26 +86,13 @@
 	 * @return whether this is new evidence
 	 */
 	public boolean recordServed(Collection<Long> parts, long sentNanos) {
-		boolean isNew = false;
-		for (Long part : parts) {
-			this.servedParts.merge(part, sentNanos, (first, second) -> (second - first > 0) ? second : first);
-			if (hasCrashAfterSuccess(part)) {
-				isNew |= add(new CrashEvidence.Success(part, sentNanos));
-			}
+		boolean isNew = this.archive.recordServed(parts, sentNanos);
+		if (isNew) {
+			decide();
 		}
 		return isNew;
 	}
 
-	private boolean hasCrashAfterSuccess(Long part) {
-		return this.crashes.values().stream().anyMatch((crash) -> isImplicated(part, crash.evidence));
-	}
-
-	private boolean isImplicated(Long part, CrashEvidence.Crash crash) {
-		Entry<CrashEvidence.Success> success = this.successes.get(part);
-		boolean isBeforeSuccess = success != null && crash.nanos() - success.evidence.nanos() < 0;
-		return !isBeforeSuccess && crash.candidates().stream().anyMatch((candidate) -> candidate.contains(part));
-	}
-
 	/**
 	 * Returns the first of some parts that is in quarantine.
 	 * @param parts the parts, not null
@@ -248,16 +155,7 @@
 			.stream()
 			.filter((verdict) -> now - verdict.lastNanos() < LIFETIME_NANOS)
 			.forEach((verdict) -> kept.addAll(verdict.servers()));
-		boolean isChanged = this.crashes.values()
-			.removeIf((crash) -> now - crash.evidence.nanos() >= LIFETIME_NANOS
-					&& !kept.contains(crash.evidence.server()));
-		if (isChanged) {
-			this.successes.keySet()
-				.removeIf((part) -> this.crashes.values()
-					.stream()
-					.noneMatch((crash) -> crash.evidence.candidates()
-						.stream()
-						.anyMatch((candidate) -> candidate.contains(part))));
+		if (this.archive.removeCrashesBefore(now - LIFETIME_NANOS, kept)) {
 			decide();
 		}
 	}
@@ -279,12 +177,12 @@
 
 	private Optional<Verdict> findStrongest(Set<String> explained) {
 		Map<Long, List<CrashEvidence.Crash>> crashesByPart = new HashMap<>();
-		for (Entry<CrashEvidence.Crash> crash : this.crashes.values()) {
-			if (!explained.contains(crash.evidence.server())) {
-				sharedParts(crash.evidence).stream()
-					.filter((part) -> isImplicated(part, crash.evidence))
-					.forEach((part) -> crashesByPart.computeIfAbsent(part, (key) -> new ArrayList<>())
-						.add(crash.evidence));
+		for (CrashEvidence.Crash crash : this.archive.crashes()) {
+			if (!explained.contains(crash.server())) {
+				crash.parts()
+					.stream()
+					.filter((part) -> this.archive.isImplicated(part, crash))
+					.forEach((part) -> crashesByPart.computeIfAbsent(part, (key) -> new ArrayList<>()).add(crash));
 			}
 		}
 		return crashesByPart.entrySet()
@@ -295,15 +193,9 @@
 			.max(Verdict::compareStrength);
 	}
 
-	private static Set<Long> sharedParts(CrashEvidence.Crash crash) {
-		Set<Long> parts = new HashSet<>();
-		crash.candidates().forEach(parts::addAll);
-		return parts;
-	}
-
 	private Verdict judge(Long part, List<CrashEvidence.Crash> implicating) {
 		implicating.sort(Comparator.comparingLong(CrashEvidence.Crash::nanos));
-		int minimum = this.successes.containsKey(part) ? MIN_CRASHES_OF_SERVED_PART : MIN_CRASHES;
+		int minimum = this.archive.wasServed(part) ? MIN_CRASHES_OF_SERVED_PART : MIN_CRASHES;
 		int count = 0;
 		long countedNanos = 0;
 		long decidedNanos = 0;
@@ -333,14 +225,7 @@
 	 * @return the evidence with its numbers, never null
 	 */
 	public List<Numbered> evidenceAfter(long after, int limit) {
-		List<Numbered> found = new ArrayList<>();
-		this.crashes.values().forEach((entry) -> found.add(new Numbered(entry.number, entry.evidence)));
-		this.successes.values().forEach((entry) -> found.add(new Numbered(entry.number, entry.evidence)));
-		return found.stream()
-			.filter((one) -> one.number() > after)
-			.sorted((first, second) -> Long.compare(first.number(), second.number()))
-			.limit(limit)
-			.toList();
+		return this.archive.evidenceAfter(after, limit);
 	}
 
 	/**
@@ -348,7 +233,7 @@
 	 * @return the number, zero if there never was any
 	 */
 	public long newestNumber() {
-		return this.sequence;
+		return this.archive.newestNumber();
 	}
 
 	/**
@@ -357,20 +242,7 @@
 	 * @return the value, zero without evidence
 	 */
 	public long digest() {
-		long digest = 0;
-		for (Entry<CrashEvidence.Crash> crash : this.crashes.values()) {
-			long server = 31L * crash.evidence.server().hashCode();
-			for (List<Long> candidate : crash.evidence.candidates()) {
-				digest ^= DIGEST_MULTIPLIER * (server + candidate.hashCode());
-			}
-			for (Long part : crash.evidence.repeatedParts()) {
-				digest ^= DIGEST_MULTIPLIER * (server + 31L * part.hashCode());
-			}
-		}
-		for (Long part : this.successes.keySet()) {
-			digest ^= DIGEST_MULTIPLIER * part.hashCode();
-		}
-		return digest;
+		return this.archive.digest();
 	}
 
 	/**
@@ -410,7 +282,4 @@
 
 	}
 
-	private record Entry<T extends CrashEvidence>(T evidence, long number) {
-	}
-
 }
