--- a/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -129,6 +131,39 @@
 		}
 	}
 
+	private String readUnframedStream(String end) throws Exception {
+		this.fixture.configure();
+		try (ScriptedServer engine = new ScriptedServer((request, connection) -> {
+			connection.send("HTTP/1.1 200 OK\r\nid: " + request.header("id", "") + "\r\nsigned: s\r\n\r\n");
+			boolean isReset = end.equals("reset");
+			connection.send("id: 1\ndata: a\n\nid: 2\ndata: b\n\n" + (isReset ? "" : end));
+			pause(100);
+			if (isReset) {
+				connection.reset();
+			}
+			connection.socket().close();
+		})) {
+			this.fixture.addServer("e1", ForwardFixture.ENGINE_SERVICE, engine);
+			return this.fixture.sendAndReadAll(ForwardFixture.generateRequest("/stream/x", "r1"));
+		}
+	}
+
+	// Guards against a stream without length and chunks that is taken for broken though
+	// it
+	// ended with its connection.
+	@Test
+	void forwardsStreamDelimitedByConnectionClose() throws Exception {
+		assertThat(readUnframedStream("")).contains("data: a", "data: b").endsWith("0\r\n\r\n");
+	}
+
+	// Guards against a stream without length and chunks that looks complete although its
+	// connection ended within an event or was reset.
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 3\ndata: c", "reset" })
+	void abortsStreamDelimitedByConnectionCloseThatBreaks(String end) throws Exception {
+		assertThat(readUnframedStream(end)).contains("data: a").doesNotEndWith("0\r\n\r\n");
+	}
+
 	// Guards against engines that work for a caller which disconnected, whether before or
 	// after the first event.
 	@Test
