Explain requests that were refused for a prompt part in quarantine

Cause: celeryhill explain gave the bare reason prompt_quarantined and left out the lines that lead to it. Change: the reason in words; responses_broken and the quarantine lines are context of each request. Evidence: RequestHistoryTests.contextContainsQuarantineOfPromptPart.

--- a/cli/src/main/java/org/celeryhill/cli/RequestHistory.java
+++ b/cli/src/main/java/org/celeryhill/cli/RequestHistory.java
@@ -31,11 +31,13 @@
 			"server_doubtful", "server_seen", "server_suspected", "server_readmitted");
 
 	/**
-	 * Events of the lease, the store and the daemons, which are context of any request.
+	 * Events of the lease, the store, the daemons and the quarantine of prompt parts,
+	 * which are context of any request.
 	 */
 	private static final Set<String> CONTROL_EVENTS = Set.of("lease_expired", "lease_lost", "lease_granted",
 			"lease_released", "placement_active", "store_lost", "store_regained", "store_relayed", "store_relay_failed",
-			"pause_suspected", "edge_starting", "edge_stopping");
+			"pause_suspected", "edge_starting", "edge_stopping", "responses_broken", "prompt_part_quarantined",
+			"prompt_part_released", "prompt_part_probed");
 
 	/** Lines with the id of the request, in order of time. */
 	private final List<LogLine> requestLines;
@@ -146,6 +148,7 @@
 			case "complete" -> "the backend server's response was forwarded completely";
 			case "model_absent" ->
 				"no engine held its model or would have loaded it in time; see the commands for the model";
+			case "prompt_quarantined" -> "a part of its prompt ends the backend servers that work on it";
 			case "DEADLINE" -> "the queue for its model was too long to meet its target";
 			case "NO_BACKEND" -> "no usable backend server was known for it";
 			case "RETRIES_EXHAUSTED" -> "the retry budget was exhausted";
--- a/cli/src/test/java/org/celeryhill/cli/RequestHistoryTests.java
+++ b/cli/src/test/java/org/celeryhill/cli/RequestHistoryTests.java
@@ -35,6 +35,10 @@
 					+ "service=s model=none status=502 reason=broken server=i-2 sends=1 events=0 ms=101",
 			"  9.9 edge-2 time=2026-09-11T22:35:43.900Z level=INFO logger=x event=server_left server=i-2",
 			"  9.9 edge-2 time=2026-09-11T22:35:43.901Z level=INFO logger=x event=server_left server=i-3",
+			" 30.0 edge-2 time=2026-09-11T22:36:04.000Z level=WARNING logger=x event=prompt_part_quarantined part=66 "
+					+ "crashes=3",
+			" 31.0 edge-1 time=2026-09-11T22:36:05.000Z level=INFO logger=x event=request_ended request=fed.10 route=r "
+					+ "service=s model=none status=503 reason=prompt_quarantined server=none sends=0 events=0 ms=1",
 			"a line of something else");
 
 	private static RequestHistory selectHistory(String request) {
@@ -67,6 +71,15 @@
 		assertThat(history.summarize()).contains("502", "may have run it");
 	}
 
+	// Guards against a refused request whose cause, a prompt part in quarantine, is not
+	// shown.
+	@Test
+	void contextContainsQuarantineOfPromptPart() {
+		RequestHistory history = selectHistory("fed");
+		assertThat(history.contextLines()).extracting(LogLine::event).containsExactly("prompt_part_quarantined");
+		assertThat(history.summarize()).contains("503", "ends the backend servers", "No backend server has seen it.");
+	}
+
 	// Guards against an explanation that does not merge the logs of several hosts, and
 	// against success for a request that no log line names.
 	@Test
