--- a/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
+++ b/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
@@ -73,7 +73,9 @@
 			}
 		}
 		catch (IOException ex) {
-			// The listener was closed at the end of the test.
+			if (!this.listener.isClosed()) {
+				System.err.println("scripted server stopped accepting connections: " + ex);
+			}
 		}
 	}
 
@@ -92,6 +94,10 @@
 		catch (IOException ex) {
 			// The script or the client closed the connection.
 		}
+		catch (RuntimeException ex) {
+			System.err.println("scripted server failed: " + ex);
+			throw ex;
+		}
 	}
 
 	private static ReceivedRequest readRequest(InputStream in) throws IOException {
