--- a/traffic/src/main/java/org/celeryhill/traffic/EvidenceArchive.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/EvidenceArchive.java
@@ -1,5 +1,6 @@
 package org.celeryhill.traffic;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -9,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Keeps the evidence against prompt parts within bounds and numbers it in the order in
@@ -18,7 +18,7 @@
 final class EvidenceArchive {
 
 	/** Difference from which on a success is taken for a later one. */
-	private static final long MIN_SUCCESS_DISTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+	private static final long MIN_SUCCESS_DISTANCE_NANOS = Duration.ofMillis(300).toNanos();
 
 	/** 2<sup>64</sup> divided by the golden ratio, as in Fibonacci hashing. */
 	private static final long DIGEST_MULTIPLIER = 0x9E3779B97F4A7C15L;
--- a/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
 /**
@@ -35,14 +34,14 @@
 	 * Crashes that are closer to each other are taken for one with a common cause, unless
 	 * a request was sent from one server to the other.
 	 */
-	private static final long MIN_CRASH_DISTANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+	private static final long MIN_CRASH_DISTANCE_NANOS = Duration.ofMillis(100).toNanos();
 
 	/** Time after the last crash of a part for which its crashes are kept. */
-	private static final long LIFETIME_NANOS = TimeUnit.MINUTES.toNanos(10);
+	private static final long LIFETIME_NANOS = Duration.ofMinutes(10).toNanos();
 
-	private static final long MIN_PROBE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(30);
+	private static final long MIN_PROBE_INTERVAL_NANOS = Duration.ofSeconds(30).toNanos();
 
-	private static final long MAX_PROBE_INTERVAL_NANOS = TimeUnit.MINUTES.toNanos(5);
+	private static final long MAX_PROBE_INTERVAL_NANOS = Duration.ofMinutes(5).toNanos();
 
 	private final EvidenceArchive archive = new EvidenceArchive();
 
