Break a stream off when the next engine does not continue it

Callers saw: a stream that stayed open without an end after its engine broke and the next one answered with an error, and one that ended as if it were complete when the next engine closed after its head. Cause: ForwardAttempt.onEnd passed each response that is not a stream on as a whole response, whether or not a stream had begun; the encoder rejects a second head, so the connection hung. endStream counted the events of all attempts, not of the last one. Change: a response that does not continue the stream is a failed attempt (sent again within the limits, else the connection is closed). A response without events ends a continued stream only if its length or its last chunk says so. IngressConnection never writes a head within a stream.

--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.EventLog;
@@ -239,6 +240,9 @@
 		else if (this.eventSplitter != null) {
 			endStream();
 		}
+		else if (this.call.isStreaming) {
+			handleFailureAfterSend("stream not continued: status " + this.response.status().code());
+		}
 		else if (isSuccess()
 				&& (!this.responseMetadata.isSigned() || HopByHopHeaders.hasContentEncoding(this.response.headers()))) {
 			abortExchange("successful response without signature or with a content encoding");
@@ -260,7 +264,7 @@
 	}
 
 	private void endStream() {
-		if (this.eventSplitter.hasIncompleteEvent() || this.call.eventCount == 0) {
+		if (this.eventSplitter.hasIncompleteEvent() || !mayEndStream()) {
 			abortExchange("stream ended within an event or without any");
 			return;
 		}
@@ -272,6 +276,14 @@
 		this.call.channel.endStream();
 	}
 
+	// Returns whether the stream can be complete with this response. A response without
+	// events is the end of a continued stream only if its own end is certain.
+	private boolean mayEndStream() {
+		boolean isEndMarked = HttpUtil.isContentLengthSet(this.response)
+				|| HttpUtil.isTransferEncodingChunked(this.response);
+		return this.hasEvent || (this.call.eventCount > 0 && isEndMarked);
+	}
+
 	private void forwardResponse() {
 		if (isSuccess()) {
 			recordServed();
--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -67,6 +67,8 @@
 
 	private boolean isChunkedSupported;
 
+	private boolean isStreamStarted;
+
 	IngressConnection(IngressServer server, RequestHandler handler) {
 		this.server = server;
 		this.handler = handler;
@@ -192,6 +194,12 @@
 			content.release();
 			return;
 		}
+		if (this.isStreamStarted) {
+			LOG.warn("response_within_stream", "status", status.code());
+			content.release();
+			abort();
+			return;
+		}
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
 				headers.copy(), EmptyHttpHeaders.INSTANCE);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
@@ -201,6 +209,7 @@
 
 	@Override
 	public void startStream(HttpResponseStatus status, HttpHeaders headers) {
+		this.isStreamStarted = true;
 		HttpHeaders copy = DefaultHttpHeadersFactory.headersFactory().newHeaders().set(headers);
 		if (this.isChunkedSupported) {
 			copy.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -233,6 +242,7 @@
 	private void finishResponse(io.netty.channel.ChannelFuture writeFuture) {
 		this.running = null;
 		this.isHandlingRequest = false;
+		this.isStreamStarted = false;
 		discardRequest();
 		this.idleSinceNanos = System.nanoTime();
 		// A response that began before the drain has no "Connection: close" header.
