Refuse requests that are read late in a planned stop

Cause: closing idle connections at 2.8 s leaves those whose request is half read; nothing stopped their requests afterwards, nor those that came between the end of active requests and the exit. Change: Forwarder.stopAccepting, called when idle connections are closed and before active requests are ended: 503, not run, with a time to come back. From SIGTERM on, a request that may not be repeated is refused if less than twice its target latency is left.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -245,17 +245,23 @@
 			this.stopStartNanos = System.nanoTime();
 			LOG.info("edge_stopping", "host", this.settings.hostId, "active", this.forwarder.activeCount());
 			this.front.startDraining();
+			this.forwarder.startStopping(this.stopStartNanos + timeUntilAbort().toNanos());
 			this.leadership.stop();
 			PeriodicTask.start(this.loop, "stop", HOUSEKEEPING_PERIOD_MS / 10, () -> stopWhenIdle(onStopped));
 		});
 	}
 
+	private Duration timeUntilAbort() {
+		return this.settings.grace().minus(EXIT_RESERVE);
+	}
+
 	private void stopWhenIdle(Runnable onStopped) {
 		long elapsed = System.nanoTime() - this.stopStartNanos;
 		boolean isBalancerDelayOver = elapsed > BALANCER_DELAY.toNanos();
-		boolean isGraceOver = elapsed > this.settings.grace().minus(EXIT_RESERVE).toNanos();
-		if (isBalancerDelayOver) {
+		boolean isGraceOver = elapsed > timeUntilAbort().toNanos();
+		if (isBalancerDelayOver || isGraceOver) {
 			// A request that arrives later may not complete within the grace period.
+			this.forwarder.stopAccepting();
 			this.front.closeIdleConnections();
 		}
 		if (!isGraceOver && (!isBalancerDelayOver || this.forwarder.activeCount() > 0)) {
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -42,6 +42,11 @@
 
 	private static final Duration UNCONFIGURED_RETRY_AFTER = Duration.ofMillis(300);
 
+	private static final String HOST_STOPPING = "host_stopping";
+
+	/** Targets for the latency after which a request has ended, if all is well. */
+	private static final int EXPECTED_LATENCY_TARGETS = 2;
+
 	private final Map<RequestId, ForwardCall> calls = new HashMap<>();
 
 	private final EventLoop loop;
@@ -72,6 +77,12 @@
 
 	private long acceptedRequestCount;
 
+	private boolean isAccepting = true;
+
+	private long stopNanos;
+
+	private boolean isStopping;
+
 	private Forwarder(EventLoop loop, BackendClient client, HeaderCodec headerCodec, TrafficController traffic,
 			ForwardMetrics metrics) {
 		this.loop = loop;
@@ -211,6 +222,23 @@
 		}
 	}
 
+	/**
+	 * Announces that this host stops. Requests that may not be repeated are refused from
+	 * now on if they could not end before.
+	 * @param endNanos the time at which the active requests are ended, in nanoseconds
+	 */
+	public void startStopping(long endNanos) {
+		this.isStopping = true;
+		this.stopNanos = endNanos;
+	}
+
+	/**
+	 * Refuses all further requests. Active requests are completed.
+	 */
+	public void stopAccepting() {
+		this.isAccepting = false;
+	}
+
 	@Override
 	public IngressLimits limits() {
 		return (this.table != null) ? this.table.limits() : IngressLimits.DEFAULTS;
@@ -220,6 +248,9 @@
 	public ActiveRequest handle(IncomingRequest request, ResponseChannel channel) {
 		RequestMetadata metadata = this.headerCodec.decodeRequest(request.headers());
 		String id = metadata.id().orElse("none");
+		if (!this.isAccepting) {
+			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, HOST_STOPPING);
+		}
 		if (this.table == null) {
 			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "no_configuration");
 		}
@@ -231,6 +262,9 @@
 		if (route.isEmpty()) {
 			return refuse(request, channel, id, HttpResponseStatus.NOT_FOUND, "no_route");
 		}
+		if (!canEndInTime(route.get())) {
+			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, HOST_STOPPING);
+		}
 		RequestId key = RequestId.of(id + "." + this.acceptedRequestCount++);
 		ForwardCall call = new ForwardCall(this, key, request, metadata, route.get(), channel);
 		this.calls.put(key, call);
@@ -238,6 +272,16 @@
 		return call;
 	}
 
+	// Returns whether a request may be repeated or will probably end before this host
+	// stops.
+	private boolean canEndInTime(Route route) {
+		if (!this.isStopping || route.isRetryable()) {
+			return true;
+		}
+		long expectedNanos = route.targetLatency().multipliedBy(EXPECTED_LATENCY_TARGETS).toNanos();
+		return System.nanoTime() + expectedNanos < this.stopNanos;
+	}
+
 	private ActiveRequest refuse(IncomingRequest request, ResponseChannel channel, String id, HttpResponseStatus status,
 			String reason) {
 		request.body().release();
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -145,6 +145,15 @@
 		runOnLoop(this.front::closeIdleConnections);
 	}
 
+	void stopAccepting() throws Exception {
+		runOnLoop(this.forwarder::stopAccepting);
+	}
+
+	// Ends the grace period of a planned stop after some time.
+	void startStopping(Duration remaining) throws Exception {
+		runOnLoop(() -> this.forwarder.startStopping(System.nanoTime() + remaining.toNanos()));
+	}
+
 	private void runOnLoop(Runnable task) throws Exception {
 		callOnLoop(() -> {
 			task.run();
