Send no new requests to a server that says that it leaves

Callers would see: requests to a server that ends under them, although it had said so in each of its responses (DRAIN). Cause: the header Server-Leaving was not known here; an entry in the host list was the only sign of a server that leaves. Change: PlatformHeaderCodec decodes it. ServerDirectory remembers the incarnation, so that the server is draining whatever its entry, a newer one, or one that vanished and came back says; another incarnation is a new server. Heads of refusals, of responses that break off, and responses to commands and reports count. Requests that wait for an adapter or a connection go to other servers; streams go on. Conclusion: one host decides from what it has seen itself; nothing depends on others.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -151,8 +151,9 @@
 		this.forwarder.setDemandListener(demandMeter);
 		this.leadership = new Leadership(this.loop, createLeaseStore(), this.metrics, leaseDuration(),
 				Duration.ofMillis(settings.leaseMillis));
-		this.placementLoop = new PlacementLoop(this.loop, this.forwarder, PlatformEngineClient.create(calls),
-				this.leadership, this.metrics, settings, this::totalDemand);
+		this.placementLoop = new PlacementLoop(this.loop, this.forwarder,
+				PlatformEngineClient.create(calls, this.forwarder::recordLeaving), this.leadership, this.metrics,
+				settings, this::totalDemand);
 		this.storeFollower = StoreFollower.create(this.store, this.loop, this.configuration,
 				this.forwarder.directory());
 		this.peerService = new PeerService(this.loop, calls, this.forwarder, this.leadership, this.placementLoop,
--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -179,7 +179,7 @@
 				.send(new JsonHttpClient.Call(host.get(), "peer", "POST", PATH, Map.of(), Optional.of(body),
 						this.call.timeout().plus(RELAY_HOP_TIME)))
 				.thenApply((reply) -> new JsonHttpClient.Response(reply.body().path("status").asInt(reply.status()),
-						reply.body().path("body")));
+						reply.body().path("body"), false));
 			this.relayedReply = Optional.of(sent);
 			sent.whenComplete((reply, failure) -> {
 				boolean isAnswered = failure == null && reply.status() != HttpResponseStatus.BAD_GATEWAY.code();
--- a/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
@@ -47,8 +47,8 @@
 		this.engine = new FakePlatformEngine("i-1", 100, Map.of("one", 70L, "two", 70L)).withModel("one");
 		this.leadership = this.fixture.createLeadership("10.0.0.1:80");
 		this.commander = new EngineCommander(this.fixture.loop.loop(),
-				PlatformEngineClient.create(this.fixture.loop.httpClient()), this.leadership, new EdgeMetrics(), "h1",
-				entry(), profile());
+				PlatformEngineClient.create(this.fixture.loop.httpClient(), (engine) -> {
+				}), this.leadership, new EdgeMetrics(), "h1", entry(), profile());
 		this.fixture.runUntil("state is known", this::tick, this.commander::isReadyForCommand);
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.celeryhill.base.AttemptId;
+import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.traffic.AttemptOutcome;
 
@@ -95,6 +96,20 @@
 		return this.exchange != null && !this.isFinished && this.exchange.isWriteStarted();
 	}
 
+	// Returns whether the attempt is meant for a server and waits for an adapter or a
+	// connection.
+	boolean isUnsentTo(BackendServerId id) {
+		return !this.isFinished && this.server != null && this.server.id().equals(id) && !wasSent();
+	}
+
+	// Ends an attempt that has not been sent.
+	void abandon() {
+		if (this.exchange != null) {
+			this.exchange.cancel();
+		}
+		finish(AttemptOutcome.REFUSED);
+	}
+
 	void start() {
 		boolean isFirst = this.call.sendCount == 0;
 		this.call.sendCount++;
@@ -133,7 +148,10 @@
 		this.responseMetadata = this.call.forwarder.headerCodec().decodeResponse(response);
 		this.responseMetadata.load()
 			.ifPresent((load) -> this.call.forwarder.directory().observeLoad(this.server.id(), load));
-		if (this.isDetached) {
+		if (this.responseMetadata.isLeaving()) {
+			this.call.forwarder.recordLeaving(this.server);
+		}
+		if (this.isDetached || this.isFinished) {
 			return;
 		}
 		Optional<String> expected = this.call.requestMetadata.id();
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
+import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.ModelId;
 import org.celeryhill.base.PriorityClass;
@@ -206,6 +207,15 @@
 		retryOrEnd("adapter_not_loaded");
 	}
 
+	// Queues the request for another server if it has not been sent to this one yet.
+	void rerouteUnsent(BackendServerId server, String reason) {
+		if (this.isEnded || this.attempt == null || !this.attempt.isUnsentTo(server)) {
+			return;
+		}
+		this.attempt.abandon();
+		retryOrEnd(reason);
+	}
+
 	void refused(TrafficAction.Refuse refusal) {
 		if (this.isEnded) {
 			return;
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -357,6 +357,22 @@
 		return this.traffic;
 	}
 
+	/**
+	 * Records that a backend server process has stated in a response that it is about to
+	 * end. Requests that were to be sent to it go to others.
+	 * @param server the entry under which it was known, not null
+	 */
+	public void recordLeaving(ServerEntry server) {
+		this.directory.recordLeaving(server);
+		rerouteUnsentCalls(server.id(), "server_leaving");
+	}
+
+	private void rerouteUnsentCalls(BackendServerId server, String reason) {
+		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
+			call.rerouteUnsent(server, reason);
+		}
+	}
+
 	private void endCallsWithPart(long part) {
 		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
 			if (call.promptParts.contains(part)) {
--- a/forward/src/main/java/org/celeryhill/forward/ResponseMetadata.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseMetadata.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -14,9 +15,12 @@
  * request
  * @param load the load of the backend server at the time of the response, not null; empty
  * if it sent none
+ * @param isLeaving whether the backend server states that it is about to end
+ * @param pause the time for which the backend server wants no requests of this host, not
+ * null; empty if it sent none
  */
-public record ResponseMetadata(Optional<String> attemptId, boolean isSigned, boolean isNotExecuted,
-		Optional<Load> load) {
+public record ResponseMetadata(Optional<String> attemptId, boolean isSigned, boolean isNotExecuted, Optional<Load> load,
+		boolean isLeaving, Optional<Duration> pause) {
 
 	/**
 	 * Creates response values.
@@ -24,6 +28,7 @@
 	public ResponseMetadata {
 		Objects.requireNonNull(attemptId, "attemptId");
 		Objects.requireNonNull(load, "load");
+		Objects.requireNonNull(pause, "pause");
 	}
 
 	/**
--- a/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerDirectory.java
@@ -1,6 +1,7 @@
 package org.celeryhill.forward;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -33,8 +34,22 @@
 	/** Assumed prefill throughput of an engine. */
 	private static final double ASSUMED_PREFILL_TOKENS_PER_SECOND = 19_000;
 
+	/** More than the backend servers that leave within a minute. */
+	private static final int MAX_LEAVING_INCARNATIONS = 4096;
+
 	private final Map<BackendServerId, ServerState> servers = new LinkedHashMap<>();
 
+	/**
+	 * Incarnations that have stated in a response that they are about to end. Kept when
+	 * an entry vanishes, as it may come back.
+	 */
+	private final Set<String> leavingIncarnations = Collections.newSetFromMap(new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+			return size() > MAX_LEAVING_INCARNATIONS;
+		}
+	});
+
 	private final Function<ServiceId, Optional<EngineProfile>> profileLookup;
 
 	private final Consumer<BackendView> changeListener;
@@ -64,10 +79,11 @@
 	/**
 	 * Adds or updates the entry of a backend server. An entry with an older heartbeat of
 	 * the same incarnation is ignored.
-	 * @param entry the entry, not null
+	 * @param listed the entry in the host list, not null
 	 * @param version the version of the host list that contains it
 	 */
-	public void put(ServerEntry entry, long version) {
+	public void put(ServerEntry listed, long version) {
+		ServerEntry entry = this.leavingIncarnations.contains(listed.incarnationId()) ? listed.asDraining() : listed;
 		ServerState state = this.servers.get(entry.id());
 		if (state == null) {
 			state = new ServerState();
@@ -113,6 +129,23 @@
 		}
 	}
 
+	/**
+	 * Records that a backend server process has stated in a response that it is about to
+	 * end. It gets no new requests from then on, whatever its entry says.
+	 * @param server the entry under which it was known, not null
+	 */
+	public void recordLeaving(ServerEntry server) {
+		if (!this.leavingIncarnations.add(server.incarnationId())) {
+			return;
+		}
+		LOG.info("server_leaving", "server", server.id(), "incarnation", server.incarnation());
+		ServerState state = this.servers.get(server.id());
+		if (state != null && !state.entry.isDifferentIncarnation(server)) {
+			state.entry = state.entry.asDraining();
+			publish(state);
+		}
+	}
+
 	/**
 	 * Updates the load of a backend server from a response. Unknown backend servers are
 	 * ignored.
--- a/forward/src/main/java/org/celeryhill/forward/ServerEntry.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerEntry.java
@@ -68,6 +68,15 @@
 		return !this.id.equals(other.id) || this.incarnation != other.incarnation;
 	}
 
+	/**
+	 * Returns a copy of this entry whose backend server is draining.
+	 * @return the entry, never null
+	 */
+	ServerEntry asDraining() {
+		return new ServerEntry(this.id, this.incarnation, this.service, this.address, this.dataCentre, this.slots, true,
+				this.models, this.modelsCachedInMemory, this.modelsCachedOnDisk, this.heartbeat);
+	}
+
 	/**
 	 * A model that is loaded on an engine.
 	 *
--- a/forward/src/test/java/org/celeryhill/forward/ContinuedStreamTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ContinuedStreamTests.java
@@ -114,8 +114,8 @@
 	@ValueSource(strings = { "", "transfer-encoding: chunked\r\n" })
 	void headWithoutEventsBreaksStreamOff(String framing) throws Exception {
 		assertBrokenOff(sendTo(breakThen((request, connection) -> {
-			connection.send("HTTP/1.1 200 OK\r\nid: " + request.header("id", "") + "\r\nsigned: s\r\n" + framing
-					+ "\r\n");
+			connection
+				.send("HTTP/1.1 200 OK\r\nid: " + request.header("id", "") + "\r\nsigned: s\r\n" + framing + "\r\n");
 			throw new IOException("closes the connection");
 		}), true));
 	}
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -94,16 +94,25 @@
 	}
 
 	void putServer(String id, ServiceId service, ScriptedServer engine, boolean isDraining) throws Exception {
+		putServer(id, 1, service, engine, isDraining);
+	}
+
+	void putServer(String id, long incarnation, ServiceId service, ScriptedServer engine, boolean isDraining)
+			throws Exception {
 		List<ServerEntry.ResidentModel> models = service.equals(ENGINE_SERVICE)
 				? List.of(new ServerEntry.ResidentModel(MODEL, 1, Set.of())) : List.of();
 		callOnLoop(() -> {
 			this.forwarder.directory()
-				.put(new ServerEntry(BackendServerId.of(id), 1, service, engine.address(), DATA_CENTRE, 4, isDraining,
-						models, Set.of(), Set.of(), 1), 1);
+				.put(new ServerEntry(BackendServerId.of(id), incarnation, service, engine.address(), DATA_CENTRE, 4,
+						isDraining, models, Set.of(), Set.of(), 1), 1);
 			return null;
 		});
 	}
 
+	void removeServer(String id) throws Exception {
+		runOnLoop(() -> this.forwarder.directory().remove(BackendServerId.of(id), 1));
+	}
+
 	// Must be called on the event loop.
 	void retireModel(String id) {
 		this.forwarder.directory().setRetiringModels(Map.of(BackendServerId.of(id), MODEL));
--- a/forward/src/test/java/org/celeryhill/forward/IngressServerTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/IngressServerTests.java
@@ -60,7 +60,8 @@
 		}
 	}
 
-	// Guards against requests that are read late in a planned stop, because their body was
+	// Guards against requests that are read late in a planned stop, because their body
+	// was
 	// slow, are sent to a server, and are cut without a response at the end of the grace.
 	@ParameterizedTest
 	@ValueSource(strings = { "/once/x", "/many/x", "/stream/x" })
--- a/forward/src/test/java/org/celeryhill/forward/TestHeaderCodec.java
+++ b/forward/src/test/java/org/celeryhill/forward/TestHeaderCodec.java
@@ -35,7 +35,9 @@
 	@Override
 	public ResponseMetadata decodeResponse(HttpResponse response) {
 		return new ResponseMetadata(Optional.ofNullable(response.headers().get("id")),
-				response.headers().contains("signed"), response.headers().contains("not-run"), Optional.empty());
+				response.headers().contains("signed"), response.headers().contains("not-run"), Optional.empty(),
+				response.headers().contains("leaving"),
+				Optional.ofNullable(response.headers().get("pause")).map(Long::valueOf).map(Duration::ofMillis));
 	}
 
 	@Override
