Heed the time for which a full server wants no requests

Callers would see: refusals after waits, as requests went on to reach engines that had turned them away and named a time (BUDGET). Cause: Retry-After of engines was not read; a refusal kept only the refused request from that server. The traffic controller gives the server no requests until then, without suspicion; a restart ends the pause. Requests that wait for an adapter or a connection go elsewhere. If no other server can take a request, it waits only for a pause of at most a third of its time, and only if the server has not turned it away; else it is refused at once with the time until the pause ends. Conclusion: the server is full, not ill.

--- a/edge/src/main/java/org/celeryhill/edge/AvailabilityLog.java
+++ b/edge/src/main/java/org/celeryhill/edge/AvailabilityLog.java
@@ -7,7 +7,7 @@
 import org.celeryhill.traffic.AvailabilityListener;
 
 /**
- * Logs which backend servers this host regards as suspect.
+ * Logs which backend servers this host regards as suspect or paused.
  */
 final class AvailabilityLog implements AvailabilityListener {
 
@@ -23,4 +23,14 @@
 		LOG.info("server_readmitted", "server", backend);
 	}
 
+	@Override
+	public void onPaused(BackendServerId backend, Duration pause) {
+		LOG.info("server_paused", "server", backend, "ms", pause.toMillis());
+	}
+
+	@Override
+	public void onResumed(BackendServerId backend) {
+		LOG.info("server_resumed", "server", backend);
+	}
+
 }
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -151,6 +151,7 @@
 		if (this.responseMetadata.isLeaving()) {
 			this.call.forwarder.recordLeaving(this.server);
 		}
+		this.responseMetadata.pause().ifPresent((pause) -> this.call.forwarder.pauseServer(this.server, pause));
 		if (this.isDetached || this.isFinished) {
 			return;
 		}
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -367,6 +367,17 @@
 		rerouteUnsentCalls(server.id(), "server_leaving");
 	}
 
+	// Sends no requests to a server for some time, as it has asked for that.
+	void pauseServer(ServerEntry server, Duration pause) {
+		Optional<ServerEntry> current = this.directory.find(server.id());
+		if (current.isEmpty() || current.get().isDifferentIncarnation(server)) {
+			return;
+		}
+		this.traffic.pauseBackend(server.id(), pause, System.nanoTime());
+		rerouteUnsentCalls(server.id(), "server_paused");
+		scheduleDispatch();
+	}
+
 	private void rerouteUnsentCalls(BackendServerId server, String reason) {
 		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
 			call.rerouteUnsent(server, reason);
--- a/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
+++ b/measure/src/main/java/org/celeryhill/measure/LeastOutstandingController.java
@@ -51,6 +51,9 @@
 	/** Server of each running attempt. */
 	private final Map<AttemptId, BackendServerId> attempts = new HashMap<>();
 
+	/** Ends of the pauses that servers have asked for, in nanoseconds. */
+	private final Map<BackendServerId, Long> pausedUntilNanos = new HashMap<>();
+
 	/** Waiting requests, in order of arrival. */
 	private final Map<RequestId, TrafficRequest> waiting = new LinkedHashMap<>();
 
@@ -88,6 +91,11 @@
 		this.servers.remove(backend);
 	}
 
+	@Override
+	public void pauseBackend(BackendServerId backend, Duration pause, long now) {
+		this.pausedUntilNanos.merge(backend, now + pause.toNanos(), Math::max);
+	}
+
 	@Override
 	public void recordCacheEvents(BackendServerId backend, List<Engine.CacheEvent> events) {
 	}
@@ -102,7 +110,7 @@
 	public List<TrafficAction> dispatch(long now) {
 		List<TrafficAction> actions = new ArrayList<>();
 		for (TrafficRequest request : List.copyOf(this.waiting.values())) {
-			BackendServerId server = chooseServer(request);
+			BackendServerId server = chooseServer(request, now);
 			if (server != null) {
 				actions.add(send(request, server));
 			}
@@ -123,11 +131,11 @@
 			.toNanos();
 	}
 
-	private BackendServerId chooseServer(TrafficRequest request) {
+	private BackendServerId chooseServer(TrafficRequest request, long now) {
 		BackendServerId best = null;
 		int least = Integer.MAX_VALUE;
 		for (BackendView view : this.servers.values()) {
-			if (!isCandidate(view, request)) {
+			if (this.pausedUntilNanos.getOrDefault(view.id(), now) > now || !isCandidate(view, request)) {
 				continue;
 			}
 			int count = this.outstanding.getOrDefault(view.id(), 0);
--- a/traffic/src/main/java/org/celeryhill/traffic/AvailabilityListener.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/AvailabilityListener.java
@@ -5,8 +5,8 @@
 import org.celeryhill.base.BackendServerId;
 
 /**
- * Receives an event when this daemon begins or ends to regard a backend server as
- * suspect. A suspect backend server gets no requests. Called by the thread that calls the
+ * Receives an event when this daemon begins or ends to regard a backend server as suspect
+ * or paused. Such a backend server gets no requests. Called by the thread that calls the
  * controller.
  */
 public interface AvailabilityListener {
@@ -24,6 +24,16 @@
 		public void onReadmitted(BackendServerId backend) {
 			// Availability is not observed.
 		}
+
+		@Override
+		public void onPaused(BackendServerId backend, Duration pause) {
+			// Availability is not observed.
+		}
+
+		@Override
+		public void onResumed(BackendServerId backend) {
+			// Availability is not observed.
+		}
 	};
 
 	/**
@@ -40,4 +50,17 @@
 	 */
 	void onReadmitted(BackendServerId backend);
 
+	/**
+	 * Called when a backend server gets no requests because it asked for that.
+	 * @param backend the backend server, not null
+	 * @param pause the time from now, not null
+	 */
+	void onPaused(BackendServerId backend, Duration pause);
+
+	/**
+	 * Called when the pause of a backend server is over.
+	 * @param backend the backend server, not null
+	 */
+	void onResumed(BackendServerId backend);
+
 }
--- a/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/BackendState.java
@@ -79,6 +79,12 @@
 	/** Whether the server became suspect and has not been readmitted yet. */
 	boolean isSuspect;
 
+	/** Whether the server has asked for no requests until {@link #pausedUntilNanos}. */
+	boolean isPaused;
+
+	/** End of the latest pause that the server asked for, in nanoseconds. */
+	long pausedUntilNanos;
+
 	/** Rendezvous hash of the server and this daemon. */
 	final long rendezvousHash;
 
@@ -294,10 +300,10 @@
 
 	/**
 	 * Returns whether the server may get new work.
-	 * @return false if it is unreachable, leaving, suspect or removed
+	 * @return false if it is unreachable, leaving, suspect, paused or removed
 	 */
 	boolean isUsable() {
-		return this.isAcceptingWork && !this.isSuspect && !this.isRemoved;
+		return this.isAcceptingWork && !this.isSuspect && !this.isPaused && !this.isRemoved;
 	}
 
 	/**
--- a/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/DefaultTrafficController.java
@@ -41,6 +41,12 @@
 	/** Time between updates of the share of this daemon, in nanoseconds. */
 	private static final long SHARE_UPDATE_INTERVAL_NANOS = 250_000_000L;
 
+	/**
+	 * A request waits for the end of a pause only if the pause is at most this part of
+	 * the time until its deadline, written as a divisor.
+	 */
+	private static final int MIN_DEADLINE_PAUSES = 3;
+
 	/** Retry-After of refusals that are not based on an estimate of the backlog. */
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -185,6 +191,19 @@
 		}
 	}
 
+	@Override
+	public void pauseBackend(BackendServerId backend, Duration pause, long now) {
+		ServicePool pool = this.poolsByBackend.get(backend);
+		BackendState state = (pool != null) ? pool.findBackend(backend) : null;
+		if (state != null) {
+			pool.pause(state, pause, now);
+			if (pool.template != null) {
+				// Waiting requests that no other server can take are refused.
+				pool.unblock(state);
+			}
+		}
+	}
+
 	@Override
 	public void recordCacheEvents(BackendServerId backend, List<Engine.CacheEvent> events) {
 		ServicePool pool = this.poolsByBackend.get(backend);
@@ -232,6 +251,7 @@
 		updateShare(now);
 		for (ServicePool pool : this.pools.values()) {
 			pool.readmitDue(now).forEach((backend) -> unblockIfUsable(pool, backend, now));
+			pool.resumeDue(now).forEach((backend) -> unblockIfUsable(pool, backend, now));
 			dispatch(pool, now, actions);
 		}
 		sendHedges(now, actions);
@@ -276,7 +296,7 @@
 		FlowQueue flow = pool.queue.selectNext(now);
 		while (flow != null) {
 			if (flow.classQueue.organisation.allowedClasses.isEmpty()) {
-				actions.add(refuseNotConfigured(flow.peek(), now));
+				actions.add(refuseWaiting(flow.peek(), TrafficAction.Reason.NOT_CONFIGURED, DEFAULT_RETRY_AFTER, now));
 			}
 			else {
 				sendNext(pool, flow, now, actions);
@@ -285,9 +305,16 @@
 		}
 	}
 
-	private TrafficAction refuseNotConfigured(PendingRequest pending, long now) {
+	// Returns whether a request should not wait until a server ends its pause. One that
+	// was sent before would not be sent to that server again.
+	private static boolean isTooLate(PendingRequest pending, Duration pause, long now) {
+		return pending.wasSent || pause.multipliedBy(MIN_DEADLINE_PAUSES).toNanos() > pending.deadline - now;
+	}
+
+	private TrafficAction refuseWaiting(PendingRequest pending, TrafficAction.Reason reason, Duration retryAfter,
+			long now) {
 		this.table.dequeue(pending);
-		return refuse(pending.request.id(), TrafficAction.Reason.NOT_CONFIGURED, DEFAULT_RETRY_AFTER, now).get();
+		return refuse(pending.request.id(), reason, retryAfter, now).get();
 	}
 
 	private void sendNext(ServicePool pool, FlowQueue flow, long now, List<TrafficAction> actions) {
@@ -297,7 +324,13 @@
 			backend = this.router.select(pool, flow.peek(), tier, this.share, false, now);
 		}
 		if (backend == null) {
-			flow.block(tier);
+			Optional<Duration> pause = pool.timeUntilResumed(flow.route, now);
+			if (pause.isPresent() && isTooLate(flow.peek(), pause.get(), now)) {
+				actions.add(refuseWaiting(flow.peek(), TrafficAction.Reason.NO_BACKEND, pause.get(), now));
+			}
+			else {
+				flow.block(tier);
+			}
 			return;
 		}
 		actions.add(send(pool, flow.pollForSend(), backend, false, now));
--- a/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/ServicePool.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.celeryhill.base.BackendServerId;
@@ -67,6 +68,9 @@
 	/** Suspect backend servers. */
 	private final Set<BackendState> suspects = new LinkedHashSet<>();
 
+	/** Backend servers that have asked for no requests for some time. */
+	private final Set<BackendState> pausedBackends = new LinkedHashSet<>();
+
 	/** Receives the begin and end of each suspicion. */
 	private final AvailabilityListener availabilityListener;
 
@@ -217,6 +221,8 @@
 		if (isRestarted) {
 			backend.cacheEpoch++;
 			backend.forgetFailures(now);
+			backend.pausedUntilNanos = now;
+			isChanged |= resumeIfDue(backend, now);
 		}
 		isChanged |= readmitIfDue(backend, now,
 				isRestarted || (!wasAcceptingWork && backend.isAcceptingWork && !isNew));
@@ -255,6 +261,74 @@
 		return readmitted;
 	}
 
+	/**
+	 * Gives a backend server no requests for some time.
+	 * @param backend the backend server
+	 * @param pause the time from now
+	 * @param now the current time in nanoseconds
+	 */
+	void pause(BackendState backend, Duration pause, long now) {
+		long untilNanos = now + pause.toNanos();
+		if (backend.isRemoved || (backend.isPaused && untilNanos - backend.pausedUntilNanos <= 0)) {
+			return;
+		}
+		if (!backend.isPaused) {
+			backend.isPaused = true;
+			this.pausedBackends.add(backend);
+			updateReadyBackends(backend, Set.of());
+		}
+		backend.pausedUntilNanos = untilNanos;
+		this.availabilityListener.onPaused(backend.id, pause);
+	}
+
+	/**
+	 * Ends the pauses that are over.
+	 * @param now the current time in nanoseconds
+	 * @return the backend servers that may get requests again
+	 */
+	List<BackendState> resumeDue(long now) {
+		List<BackendState> resumed = new ArrayList<>();
+		for (BackendState backend : List.copyOf(this.pausedBackends)) {
+			if (resumeIfDue(backend, now)) {
+				updateReadyBackends(backend, Set.of());
+				resumed.add(backend);
+			}
+		}
+		return resumed;
+	}
+
+	private boolean resumeIfDue(BackendState backend, long now) {
+		if (!backend.isPaused || now - backend.pausedUntilNanos < 0) {
+			return false;
+		}
+		backend.isPaused = false;
+		this.pausedBackends.remove(backend);
+		this.availabilityListener.onResumed(backend.id);
+		return true;
+	}
+
+	/**
+	 * Returns the time until a route has a candidate again, if it has none because
+	 * backend servers have asked for no requests.
+	 * @param route the route
+	 * @param now the current time in nanoseconds
+	 * @return the time, empty if the route has a candidate or none that is paused
+	 */
+	Optional<Duration> timeUntilResumed(ModelRoute route, long now) {
+		if (this.pausedBackends.isEmpty() || isReachable(route)) {
+			return Optional.empty();
+		}
+		return this.pausedBackends.stream()
+			.filter((backend) -> backend.isAcceptingWork && canServe(backend, route))
+			.map((backend) -> Duration.ofNanos(Math.max(0, backend.pausedUntilNanos - now)))
+			.min(Comparator.naturalOrder());
+	}
+
+	private boolean canServe(BackendState backend, ModelRoute route) {
+		return route == this.plainRoute || backend.isReady(route.model)
+				|| (route.base != null && backend.isReady(route.base.model));
+	}
+
 	private void updateReadyBackends(BackendState backend, Set<ModelId> readyBefore) {
 		for (ModelId model : readyBefore) {
 			setReadyBackend(model, backend, backend.isReady(model));
@@ -311,6 +385,7 @@
 		}
 		backend.isRemoved = true;
 		this.suspects.remove(backend);
+		this.pausedBackends.remove(backend);
 		for (ModelId model : backend.ready()) {
 			setReadyBackend(model, backend, false);
 		}
--- a/traffic/src/main/java/org/celeryhill/traffic/TrafficController.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/TrafficController.java
@@ -38,6 +38,15 @@
 	 */
 	void removeBackend(BackendServerId backend);
 
+	/**
+	 * Sends no requests to a backend server for some time, because it asked for that. The
+	 * server is full, not faulty. The pause ends early if the server restarts.
+	 * @param backend the backend server, not null; unknown ones are ignored
+	 * @param pause the time from now, not null; a shorter one than the present is ignored
+	 * @param now the current time in nanoseconds
+	 */
+	void pauseBackend(BackendServerId backend, java.time.Duration pause, long now);
+
 	/**
 	 * Records which prompt prefixes an engine has cached or dropped. Events may arrive
 	 * late and with gaps.
