Recognise requests that crash their servers as a whole

A trial that logged the requests in flight showed the same target, prompt, body and model in each crash with new attempt ids; the shared parts of its prompt are those of many sound requests, which are served meanwhile. Cause: only shared parts of a prompt could come into quarantine. What was specific to the request, its last part and its whole content, was left out by design. Change: RequestTraits: shared parts, then the last part, then a hash of the whole request (method, target, model, prompt, body). The quarantine treats them alike; among equals the more specific one wins, and three different requests with one part still show the part. Successes of specific traits have a bound of their own, so that they do not displace shared parts. Up to 96 candidates of a crash are kept, as an engine runs more requests than the 32 of before; the parts of a crash are collected once, not for each question. Two tests changed because they sent identical requests where they meant different ones: wholeResponseTellsForItsPrompt (crashing requests now differ) and QuarantineSpreadTests (last parts now differ); what they check is the same. wholeRequestKnownToOneHostIsRefusedByAll is new.

--- a/edge/src/test/java/org/celeryhill/edge/QuarantineSpreadTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/QuarantineSpreadTests.java
@@ -75,9 +75,13 @@
 	}
 
 	private String send(int host, String parts) throws IOException {
+		String ownPart = Integer.toHexString(0xf000 + this.requestCount);
+		return sendWhole(host, parts + ":10," + ownPart + ":5");
+	}
+
+	private String sendWhole(int host, String prompt) throws IOException {
 		String id = "a" + this.requestCount++;
-		return DaemonFixture.exchange(this.hosts.get(host).front,
-				FakePlatformService.request("/p/x", id, parts + ":10,ffff:5"));
+		return DaemonFixture.exchange(this.hosts.get(host).front, FakePlatformService.request("/p/x", id, prompt));
 	}
 
 	private void sendDeadlyRequests(int host) throws Exception {
@@ -88,13 +92,17 @@
 	}
 
 	private void assertPartIsRefused(int host) throws Exception {
+		awaitQuarantine(host);
+		assertThat(send(host, "b2:10," + DEADLY_PART)).startsWith("HTTP/1.1 503");
+		assertThat(send(host, "a1")).startsWith("HTTP/1.1 200");
+	}
+
+	private void awaitQuarantine(int host) throws Exception {
 		long end = System.nanoTime() + SPREAD_NANOS;
 		while (quarantinedParts(host) == 0 && System.nanoTime() < end) {
 			Thread.sleep(50);
 		}
 		assertThat(quarantinedParts(host)).isEqualTo(1);
-		assertThat(send(host, "b2:10," + DEADLY_PART)).startsWith("HTTP/1.1 503");
-		assertThat(send(host, "a1")).startsWith("HTTP/1.1 200");
 	}
 
 	private int quarantinedParts(int host) throws IOException {
@@ -114,6 +122,22 @@
 		assertPartIsRefused(0);
 	}
 
+	// Guards against a request that ends servers and comes again at other hosts, whose
+	// prompt has no part that only such requests have.
+	@Test
+	void wholeRequestKnownToOneHostIsRefusedByAll() throws Exception {
+		for (int i = 0; i < 3; i++) {
+			assertThat(sendWhole(i, "a1:10,c1:10," + DEADLY_PART + ":5")).startsWith("HTTP/1.1 502");
+			Thread.sleep(150);
+			assertThat(sendWhole(i, "a1:10,c1:10,f" + i + ":5")).startsWith("HTTP/1.1 200");
+		}
+		for (int i = 0; i < 3; i++) {
+			awaitQuarantine(i);
+			assertThat(sendWhole(i, "a1:10,c1:10," + DEADLY_PART + ":5")).startsWith("HTTP/1.1 503");
+			assertThat(sendWhole(i, "a1:10,c1:10,e" + i + ":5")).startsWith("HTTP/1.1 200");
+		}
+	}
+
 	// Guards against crashes at different hosts that are not counted together.
 	@Test
 	void crashesAtDifferentHostsCountTogether() throws Exception {
--- a/forward/src/main/java/org/celeryhill/forward/CrashDetector.java
+++ b/forward/src/main/java/org/celeryhill/forward/CrashDetector.java
@@ -28,7 +28,7 @@
 	private static final long CONFIRMATION_DELAY_MS = 30;
 
 	/** Candidates of one crash that are kept. */
-	private static final int MAX_CANDIDATES = 16;
+	private static final int MAX_CANDIDATES = 64;
 
 	private final Map<BackendClient.PoolKey, BrokenResponses> brokenResponses = new HashMap<>();
 
@@ -50,8 +50,7 @@
 			this.client.loop().schedule(() -> confirm(server), CONFIRMATION_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 		broken.responseCount++;
-		if (!request.isRunConfirmed() && !request.promptParts().isEmpty()
-				&& broken.candidates.size() < MAX_CANDIDATES) {
+		if (!request.isRunConfirmed() && broken.candidates.size() < MAX_CANDIDATES) {
 			broken.candidates.add(request);
 		}
 	}
@@ -75,7 +74,7 @@
 	private static String describe(List<BrokenRequest> candidates) {
 		return candidates.stream()
 			.map((candidate) -> candidate.request() + ":"
-					+ candidate.promptParts().stream().map(Long::toHexString).collect(Collectors.joining("+")))
+					+ candidate.parts().stream().map(Long::toHexString).collect(Collectors.joining("+")))
 			.collect(Collectors.joining(";"));
 	}
 
@@ -83,12 +82,12 @@
 	 * A request whose response broke.
 	 *
 	 * @param request the id of the request
-	 * @param promptParts the shared parts of its prompt
+	 * @param parts the parts by which the request can be recognised
 	 * @param isRepeated whether another server had worked on the request before
 	 * @param isRunConfirmed whether the server had worked on it for so long that it
 	 * cannot be the cause if the server has ended
 	 */
-	record BrokenRequest(RequestId request, List<Long> promptParts, boolean isRepeated, boolean isRunConfirmed) {
+	record BrokenRequest(RequestId request, List<Long> parts, boolean isRepeated, boolean isRunConfirmed) {
 	}
 
 	private static final class BrokenResponses {
@@ -107,9 +106,9 @@
 			Set<List<Long>> parts = new HashSet<>();
 			Set<Long> repeatedParts = new HashSet<>();
 			for (BrokenRequest candidate : this.candidates) {
-				parts.add(candidate.promptParts());
+				parts.add(candidate.parts());
 				if (candidate.isRepeated()) {
-					repeatedParts.addAll(candidate.promptParts());
+					repeatedParts.addAll(candidate.parts());
 				}
 			}
 			return new ServerCrash(server, this.nanos, parts, repeatedParts);
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -337,16 +337,14 @@
 			return;
 		}
 		this.call.forwarder.promptGuard()
-			.recordBroken(poolKey(), new CrashDetector.BrokenRequest(this.call.key, this.call.promptParts,
+			.recordBroken(poolKey(), new CrashDetector.BrokenRequest(this.call.key, this.call.traits.all(),
 					this.call.executionCount > 0, isRunConfirmed()));
 		handleFailureAfterSend(detail);
 	}
 
 	private void recordServed() {
 		this.isServedRecorded = true;
-		if (!this.call.promptParts.isEmpty()) {
-			this.call.forwarder.promptGuard().recordServed(this.call.promptParts, this.startNanos);
-		}
+		this.call.forwarder.promptGuard().recordServed(this.call.traits, this.startNanos);
 	}
 
 	// Returns whether the engine has worked on the response for so long that the request
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -18,6 +18,7 @@
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.traffic.AttemptOutcome;
+import org.celeryhill.traffic.RequestTraits;
 import org.celeryhill.traffic.TrafficAction;
 import org.celeryhill.traffic.TrafficRequest;
 
@@ -59,8 +60,8 @@
 
 	final List<Long> prefixBlockHashes;
 
-	/** The parts of the prompt that other requests may contain too. */
-	final List<Long> promptParts;
+	/** What identifies the content of the request. */
+	final RequestTraits traits;
 
 	final long deadlineNanos;
 
@@ -99,7 +100,7 @@
 		Duration deadline = requestMetadata.deadline().orElse(DEFAULT_DEADLINE);
 		Duration limit = (deadline.compareTo(route.timeout()) < 0) ? deadline : route.timeout();
 		this.deadlineNanos = incoming.arrivedNanos() + limit.toNanos();
-		this.promptParts = requestMetadata.sharedPromptParts();
+		this.traits = RequestFingerprint.traitsOf(incoming, requestMetadata);
 		this.prefixBlockHashes = PromptBlockHashes.of(requestMetadata.prompt());
 		this.request = new TrafficRequest(key, RevisionMapping.ORGANISATION, this.service,
 				requestMetadata.model().map(RequestMetadata.ModelName::toId), RevisionMapping.priority(route),
@@ -114,7 +115,7 @@
 	}
 
 	void submit() {
-		Optional<Duration> quarantine = this.forwarder.promptGuard().check(this.promptParts, System.nanoTime());
+		Optional<Duration> quarantine = this.forwarder.promptGuard().check(this.traits, System.nanoTime());
 		if (quarantine.isPresent()) {
 			refuse(QUARANTINED, quarantine.get());
 			return;
@@ -265,7 +266,7 @@
 			fail(HttpResponseStatus.BAD_GATEWAY, QUARANTINED);
 			return;
 		}
-		Optional<Duration> wait = this.forwarder.promptGuard().check(this.promptParts, System.nanoTime());
+		Optional<Duration> wait = this.forwarder.promptGuard().check(this.traits, System.nanoTime());
 		wait.ifPresent((delay) -> refuse(QUARANTINED, delay));
 	}
 
@@ -273,7 +274,7 @@
 	void retryOrEnd(String reason) {
 		boolean isAllowed = !this.mayHaveRun
 				|| (this.route.isRetryable() && this.executionCount < this.route.maxAttempts());
-		boolean isQuarantined = this.forwarder.promptGuard().isQuarantined(this.promptParts);
+		boolean isQuarantined = this.forwarder.promptGuard().isQuarantined(this.traits);
 		if (isAllowed && !isQuarantined && System.nanoTime() < this.deadlineNanos) {
 			long now = System.nanoTime();
 			Optional<TrafficAction.Refuse> refusal = this.attempt.wasSent()
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -386,7 +386,7 @@
 
 	private void endCallsWithPart(long part) {
 		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
-			if (call.promptParts.contains(part)) {
+			if (call.traits.all().contains(part)) {
 				call.endQuarantined();
 			}
 		}
--- a/forward/src/main/java/org/celeryhill/forward/PromptGuard.java
+++ b/forward/src/main/java/org/celeryhill/forward/PromptGuard.java
@@ -10,11 +10,12 @@
 import org.celeryhill.base.EventLog;
 import org.celeryhill.traffic.CrashEvidence;
 import org.celeryhill.traffic.PromptQuarantine;
+import org.celeryhill.traffic.RequestTraits;
 
 /**
- * Keeps requests away from backend servers if their prompt contains a part that ends each
- * server which works on it. Collects the evidence of this host and takes that of other
- * hosts. Must be used on the event loop.
+ * Keeps requests away from backend servers if they end each server which works on them,
+ * as a whole or because of a part of their prompt. Collects the evidence of this host and
+ * takes that of other hosts. Must be used on the event loop.
  */
 public final class PromptGuard {
 
@@ -81,8 +82,8 @@
 
 	// Returns the time after which to retry if a request must not be sent now, else
 	// empty.
-	Optional<Duration> check(List<Long> parts, long now) {
-		Optional<Long> part = this.quarantine.findQuarantined(parts);
+	Optional<Duration> check(RequestTraits traits, long now) {
+		Optional<Long> part = findQuarantined(traits);
 		if (part.isEmpty()) {
 			return Optional.empty();
 		}
@@ -95,16 +96,20 @@
 		return Optional.of(wait);
 	}
 
-	boolean isQuarantined(List<Long> parts) {
-		return this.quarantine.findQuarantined(parts).isPresent();
+	boolean isQuarantined(RequestTraits traits) {
+		return findQuarantined(traits).isPresent();
+	}
+
+	private Optional<Long> findQuarantined(RequestTraits traits) {
+		return this.quarantinedParts.isEmpty() ? Optional.empty() : this.quarantine.findQuarantined(traits.all());
 	}
 
 	void recordBroken(BackendClient.PoolKey server, CrashDetector.BrokenRequest request) {
 		this.crashDetector.recordBroken(server, request);
 	}
 
-	void recordServed(List<Long> parts, long sentNanos) {
-		if (this.quarantine.recordServed(parts, sentNanos)) {
+	void recordServed(RequestTraits traits, long sentNanos) {
+		if (this.quarantine.recordServed(traits, sentNanos)) {
 			handleDecisions();
 			this.evidenceListener.run();
 		}
--- a/forward/src/main/java/org/celeryhill/forward/ServerCrash.java
+++ b/forward/src/main/java/org/celeryhill/forward/ServerCrash.java
@@ -11,8 +11,8 @@
  * @param server the process that ended, as {@link ServerEntry#incarnationId()}, not null
  * @param brokenNanos the time at which its responses broke, on the clock of
  * {@link System#nanoTime()}
- * @param candidates the shared prompt parts of each request whose response had not begun
- * or had only just begun, not null
+ * @param candidates the parts by which each request can be recognised whose response had
+ * not begun or had only just begun, not null
  * @param repeatedParts the parts of those requests that another backend server had worked
  * on before, not null
  */
--- a/forward/src/test/java/org/celeryhill/forward/PromptCrashTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/PromptCrashTests.java
@@ -122,12 +122,54 @@
 		}
 		for (int i = 0; i < 4; i++) {
 			assertThat(sendPlain("r1" + i, "11,22,5")).startsWith("HTTP/1.1 200");
-			assertThat(sendPlain("r9" + i, "11,22,6")).startsWith("HTTP/1.1 502");
+			assertThat(sendPlain("r9" + i, "11,22,6" + i)).startsWith("HTTP/1.1 502");
 			Thread.sleep(120);
 		}
 		assertThat(sendPlain("r2", "11,22,5")).startsWith("HTTP/1.1 200");
 	}
 
+	// Guards against a request that comes again and again with new ids, ends one engine
+	// after the other, and shares each part of its prompt but the last with sound
+	// requests.
+	@Test
+	void requestThatEndsEnginesIsKeptFromFurtherEngines() throws Exception {
+		for (int i = 0; i < 10; i++) {
+			this.fixture.sendAndReadAll(ForwardFixture.promptRequest("/resumable/x", "d" + i, "11,22," + DEADLY_PART));
+			Thread.sleep(120);
+			assertThat(send(2000 + i, "11,22")).startsWith("HTTP/1.1 200");
+		}
+		assertThat(this.crashCount.get()).isLessThanOrEqualTo(ALLOWED_CRASHES);
+		String refused = this.fixture
+			.sendAndReadAll(ForwardFixture.promptRequest("/resumable/x", "d99", "11,22," + DEADLY_PART));
+		assertThat(refused).startsWith("HTTP/1.1 503").contains("retry-after");
+	}
+
+	// Guards against a request without a prompt that ends one server after the other.
+	@Test
+	void requestWithoutPromptThatEndsServersIsKeptFromFurtherServers() throws Exception {
+		AtomicInteger crashes = new AtomicInteger();
+		for (int i = 0; i < ENGINES; i++) {
+			ScriptedServer[] self = new ScriptedServer[1];
+			self[0] = new ScriptedServer((request, connection) -> {
+				if (request.body().equals("deadly")) {
+					crashes.incrementAndGet();
+					self[0].crash();
+					return;
+				}
+				connection.respond(request, 200, "signed: s\r\n", "ok");
+			});
+			this.engines.add(self[0]);
+			this.fixture.addServer("p" + i, ForwardFixture.PLAIN_SERVICE, self[0]);
+		}
+		for (int i = 0; i < 10; i++) {
+			this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "d" + i, "deadly"));
+			Thread.sleep(120);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r" + i, "sound" + i)))
+				.startsWith("HTTP/1.1 200");
+		}
+		assertThat(crashes.get()).isLessThanOrEqualTo(ALLOWED_CRASHES);
+	}
+
 	private String sendPlain(String id, String parts) throws IOException {
 		String request = ForwardFixture.promptRequest("/once/x", id, parts);
 		return this.fixture.sendAndReadAll(request.replace("model: " + ForwardFixture.MODEL + "\r\n", ""));
--- a/traffic/src/main/java/org/celeryhill/traffic/CrashEvidence.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/CrashEvidence.java
@@ -29,10 +29,10 @@
 	 *
 	 * @param server identifies the process among all processes of all backend servers,
 	 * not null
-	 * @param candidates the shared prompt parts of the requests that may have ended it,
-	 * in the order of their prompts, not null
-	 * @param repeatedParts the prompt parts of those requests that were sent again after
-	 * another server had not completed them, not null
+	 * @param candidates the traits of the requests that may have ended it, each in the
+	 * order of {@link RequestTraits#all()}, not null
+	 * @param repeatedParts the parts of those requests that were sent again after another
+	 * server had not completed them, not null
 	 * @param nanos when it ended
 	 */
 	record Crash(String server, Set<List<Long>> candidates, Set<Long> repeatedParts,
--- a/traffic/src/main/java/org/celeryhill/traffic/EvidenceArchive.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/EvidenceArchive.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,21 +24,26 @@
 
 	private static final int MAX_CRASHES = 64;
 
-	private static final int MAX_CANDIDATES = 32;
+	/** More than the requests that an engine runs at the same time. */
+	private static final int MAX_CANDIDATES = 96;
 
 	private static final int MAX_SERVED_PARTS = 4096;
 
 	private final Map<String, Entry<CrashEvidence.Crash>> crashes = new LinkedHashMap<>();
 
+	/** The parts of all candidates of a crash, by its server. */
+	private final Map<String, Set<Long>> partsByServer = new HashMap<>();
+
 	private final Map<Long, Entry<CrashEvidence.Success>> successes = new HashMap<>();
 
-	/** When the last served request with a part was sent, by part. */
-	private final Map<Long, Long> servedParts = new LinkedHashMap<>(16, 0.75f, true) {
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > MAX_SERVED_PARTS;
-		}
-	};
+	/**
+	 * When the last served request with a part was sent, by part, for the parts that many
+	 * requests share.
+	 */
+	private final Map<Long, Long> servedSharedParts = new ServedParts();
+
+	/** The same for the parts that are specific to a request, which come more often. */
+	private final Map<Long, Long> servedSpecificParts = new ServedParts();
 
 	private long newestNumber;
 
@@ -56,6 +60,7 @@
 			return false;
 		}
 		this.crashes.put(crash.server(), new Entry<>(merged, ++this.newestNumber));
+		this.partsByServer.put(crash.server(), merged.parts());
 		crash.parts().forEach(this::addEarlierSuccess);
 		return true;
 	}
@@ -74,7 +79,8 @@
 
 	// Tells the other hosts that this one has seen a part of a candidate served before.
 	private void addEarlierSuccess(Long part) {
-		Long servedNanos = this.servedParts.get(part);
+		Long servedNanos = this.servedSharedParts.get(part);
+		servedNanos = (servedNanos != null) ? servedNanos : this.servedSpecificParts.get(part);
 		if (servedNanos != null) {
 			addSuccess(new CrashEvidence.Success(part, servedNanos));
 		}
@@ -89,25 +95,39 @@
 		return true;
 	}
 
-	// Records that a request with some parts was served. Returns whether this is new
-	// evidence.
-	boolean recordServed(Collection<Long> parts, long sentNanos) {
+	// Records that a request was served. Returns whether this is new evidence.
+	boolean recordServed(RequestTraits traits, long sentNanos) {
+		traits.shared().forEach((part) -> this.servedSharedParts.merge(part, sentNanos, EvidenceArchive::later));
+		traits.specific().forEach((part) -> this.servedSpecificParts.merge(part, sentNanos, EvidenceArchive::later));
 		boolean isNew = false;
-		for (Long part : parts) {
-			this.servedParts.merge(part, sentNanos, (first, second) -> (second - first > 0) ? second : first);
-			if (crashes().stream().anyMatch((crash) -> isImplicated(part, crash))) {
-				isNew |= addSuccess(new CrashEvidence.Success(part, sentNanos));
+		if (!this.crashes.isEmpty()) {
+			for (Long part : traits.all()) {
+				isNew |= isImplicated(part) && addSuccess(new CrashEvidence.Success(part, sentNanos));
 			}
 		}
 		return isNew;
 	}
 
-	// Returns whether a crash tells against a part, that is whether no request with the
-	// part was served since.
-	boolean isImplicated(Long part, CrashEvidence.Crash crash) {
+	private static long later(long first, long second) {
+		return (second - first > 0) ? second : first;
+	}
+
+	private boolean isImplicated(Long part) {
+		return this.crashes.values()
+			.stream()
+			.map(Entry::evidence)
+			.anyMatch((crash) -> this.partsByServer.get(crash.server()).contains(part) && !wasServedAfter(part, crash));
+	}
+
+	// Returns the parts against which a crash tells: those of its candidates without a
+	// request that was sent later and served.
+	List<Long> implicatedParts(CrashEvidence.Crash crash) {
+		return this.partsByServer.get(crash.server()).stream().filter((part) -> !wasServedAfter(part, crash)).toList();
+	}
+
+	private boolean wasServedAfter(Long part, CrashEvidence.Crash crash) {
 		Entry<CrashEvidence.Success> success = this.successes.get(part);
-		boolean isBeforeSuccess = success != null && crash.nanos() - success.evidence.nanos() < 0;
-		return !isBeforeSuccess && crash.candidates().stream().anyMatch((candidate) -> candidate.contains(part));
+		return success != null && crash.nanos() - success.evidence.nanos() < 0;
 	}
 
 	// Returns whether a request with a part is known to have been served.
@@ -128,6 +148,7 @@
 				.min(byNeed.thenComparingLong(CrashEvidence.Crash::nanos))
 				.ifPresent((crash) -> this.crashes.remove(crash.server()));
 		}
+		this.partsByServer.keySet().retainAll(this.crashes.keySet());
 	}
 
 	// Removes the crashes before a time except those of the given servers, and the
@@ -136,8 +157,9 @@
 		boolean isChanged = this.crashes.values()
 			.removeIf((crash) -> crash.evidence.nanos() - nanos <= 0 && !keptServers.contains(crash.evidence.server()));
 		if (isChanged) {
+			this.partsByServer.keySet().retainAll(this.crashes.keySet());
 			Set<Long> parts = new HashSet<>();
-			crashes().forEach((crash) -> parts.addAll(crash.parts()));
+			this.partsByServer.values().forEach(parts::addAll);
 			this.successes.keySet().retainAll(parts);
 		}
 		return isChanged;
@@ -177,6 +199,22 @@
 		return digest;
 	}
 
+	/** The parts used last, with a bound. */
+	private static final class ServedParts extends LinkedHashMap<Long, Long> {
+
+		private static final long serialVersionUID = 1L;
+
+		private ServedParts() {
+			super(16, 0.75f, true);
+		}
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+			return size() > MAX_SERVED_PARTS;
+		}
+
+	}
+
 	private record Entry<T extends CrashEvidence>(T evidence, long number) {
 
 		private PromptQuarantine.Numbered toNumbered() {
--- a/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
+++ b/traffic/src/main/java/org/celeryhill/traffic/PromptQuarantine.java
@@ -14,10 +14,12 @@
 import java.util.stream.Collectors;
 
 /**
- * Decides which prompt parts are in quarantine, because the backend servers that work on
- * them end. The decision depends only on the evidence, so that hosts which have the same
- * evidence decide alike. Evidence is exchanged by {@link #evidenceAfter} and
- * {@link #add}, in any order and more than once. Not thread-safe; reads no clock.
+ * Decides which parts of requests are in quarantine, because the backend servers that
+ * work on them end. A part is any of the {@link RequestTraits}: a part of the prompt or
+ * the hash of a whole request. The decision depends only on the evidence, so that hosts
+ * which have the same evidence decide alike. Evidence is exchanged by
+ * {@link #evidenceAfter} and {@link #add}, in any order and more than once. Not
+ * thread-safe; reads no clock.
  */
 public final class PromptQuarantine {
 
@@ -80,12 +82,12 @@
 
 	/**
 	 * Records that a request was served.
-	 * @param parts the shared parts of its prompt, not null
+	 * @param traits the traits of the request, not null
 	 * @param sentNanos when it was sent to its backend server, in nanoseconds
 	 * @return whether this is new evidence
 	 */
-	public boolean recordServed(Collection<Long> parts, long sentNanos) {
-		boolean isNew = this.archive.recordServed(parts, sentNanos);
+	public boolean recordServed(RequestTraits traits, long sentNanos) {
+		boolean isNew = this.archive.recordServed(traits, sentNanos);
 		if (isNew) {
 			decide();
 		}
@@ -178,9 +180,7 @@
 		Map<Long, List<CrashEvidence.Crash>> crashesByPart = new HashMap<>();
 		for (CrashEvidence.Crash crash : this.archive.crashes()) {
 			if (!explained.contains(crash.server())) {
-				crash.parts()
-					.stream()
-					.filter((part) -> this.archive.isImplicated(part, crash))
+				this.archive.implicatedParts(crash)
 					.forEach((part) -> crashesByPart.computeIfAbsent(part, (key) -> new ArrayList<>()).add(crash));
 			}
 		}
--- a/traffic/src/test/java/org/celeryhill/traffic/PromptQuarantineTests.java
+++ b/traffic/src/test/java/org/celeryhill/traffic/PromptQuarantineTests.java
@@ -23,6 +23,10 @@
 
 	private static final long DEADLY = 66;
 
+	private static final long LAST = 77;
+
+	private static final long WHOLE = 88;
+
 	private final PromptQuarantine quarantine = new PromptQuarantine();
 
 	private static long millis(long value) {
@@ -45,7 +49,7 @@
 	void partOfThreeCrashesIsQuarantined() {
 		addCrashes(2, 1000, List.of(FIRST, DEADLY));
 		assertThat(this.quarantine.quarantined()).isEmpty();
-		this.quarantine.recordServed(List.of(FIRST, SHARED), millis(1300));
+		this.quarantine.recordServed(new RequestTraits(List.of(FIRST, SHARED), List.of()), millis(1300));
 		addCrashes(1, 2000, List.of(FIRST, DEADLY));
 		assertThat(this.quarantine.quarantined()).containsOnlyKeys(DEADLY);
 		assertThat(this.quarantine.findQuarantined(List.of(99L, DEADLY))).contains(DEADLY);
@@ -77,7 +81,7 @@
 	void successAfterLastCrashReleasesPart() {
 		addCrashes(3, 1000, List.of(FIRST, DEADLY));
 		assertThat(this.quarantine.quarantined()).containsOnlyKeys(DEADLY);
-		this.quarantine.recordServed(List.of(FIRST, DEADLY), millis(1700));
+		this.quarantine.recordServed(new RequestTraits(List.of(FIRST, DEADLY), List.of()), millis(1700));
 		assertThat(this.quarantine.quarantined()).isEmpty();
 	}
 
@@ -85,7 +89,7 @@
 	// in flight whenever a server ends.
 	@Test
 	void servedPartNeedsMoreCrashes() {
-		this.quarantine.recordServed(List.of(FIRST), millis(500));
+		this.quarantine.recordServed(new RequestTraits(List.of(FIRST), List.of()), millis(500));
 		addCrashes(5, 1000, List.of(FIRST));
 		assertThat(this.quarantine.quarantined()).isEmpty();
 		addCrashes(1, 3000, List.of(FIRST));
@@ -105,12 +109,56 @@
 	// Guards against a second deadly part that is overlooked beside the first one.
 	@Test
 	void twoDeadlyPartsAreFound() {
-		this.quarantine.recordServed(List.of(FIRST), millis(500));
+		this.quarantine.recordServed(new RequestTraits(List.of(FIRST), List.of()), millis(500));
 		addCrashes(3, 1000, List.of(FIRST, DEADLY));
-		addCrashes(3, 2000, List.of(FIRST, 77L));
+		addCrashes(3, 2000, List.of(FIRST, LAST));
 		assertThat(this.quarantine.quarantined()).containsOnlyKeys(DEADLY, 77L);
 	}
 
+	// Guards against a whole request that comes again and again and is not recognised,
+	// because sound requests share all parts of its prompt.
+	@Test
+	void wholeRequestThatEndsServersIsQuarantined() {
+		for (int i = 0; i < 3; i++) {
+			this.quarantine.recordServed(new RequestTraits(List.of(FIRST, SHARED), List.of(500L + i)), millis(900 + i));
+			this.quarantine.add(new CrashEvidence.Crash("s" + i,
+					Set.of(List.of(FIRST, SHARED, LAST, WHOLE), List.of(FIRST, SHARED, 700L + i, 800L + i)), Set.of(),
+					millis(1000 + 200L * i)));
+		}
+		assertThat(this.quarantine.quarantined()).containsOnlyKeys(WHOLE);
+	}
+
+	// Guards against requests of one session, no two alike, that are not recognised by
+	// the part that they have in common.
+	@Test
+	void lastPartOfSessionIsQuarantined() {
+		for (int i = 0; i < 3; i++) {
+			this.quarantine.add(crash("s" + i, 1000 + 200L * i, List.of(FIRST, 40L + i, LAST, 900L + i)));
+		}
+		assertThat(this.quarantine.quarantined()).containsOnlyKeys(LAST);
+	}
+
+	// Guards against the quarantine of a sound request that callers send often, as one is
+	// in flight whenever a server ends.
+	@Test
+	void servedWholeRequestNeedsMoreCrashes() {
+		this.quarantine.recordServed(new RequestTraits(List.of(), List.of(WHOLE)), millis(500));
+		addCrashes(5, 1000, List.of(WHOLE));
+		assertThat(this.quarantine.quarantined()).isEmpty();
+	}
+
+	// Guards against memory that grows with the requests that were served, and against a
+	// shared part that is forgotten because of them.
+	@Test
+	void servedRequestsDoNotDisplaceSharedParts() {
+		this.quarantine.recordServed(new RequestTraits(List.of(FIRST), List.of()), millis(500));
+		for (long i = 0; i < 100_000; i++) {
+			this.quarantine.recordServed(new RequestTraits(List.of(), List.of(1_000_000 + i)), millis(600));
+		}
+		addCrashes(5, 1000, List.of(FIRST));
+		assertThat(this.quarantine.quarantined()).isEmpty();
+	}
+
 	// Guards against hosts that decide differently because the evidence reached them in
 	// another order or more than once.
 	@Test
