--- a/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
+++ b/edge/src/main/java/org/celeryhill/edge/ConfigurationHolder.java
@@ -79,7 +79,7 @@
 	// Returns whether another host has to send its configuration, as this one cannot read
 	// it from the store.
 	boolean isDocumentNeeded(boolean isStoreLost) {
-		if (version() == 0 && isStoreLost) {
+		if (isStoreLost && (version() == 0 || isBehind())) {
 			return true;
 		}
 		return isBehind() && System.nanoTime() - this.announcedNanos > MAX_READ_NANOS;
--- a/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreFollower.java
@@ -16,8 +16,9 @@
 /**
  * Follows the operator's table and the table of backend servers in the store. The holder
  * of the placement lease polls the store and passes on the rows in its responses to
- * heartbeats; the other hosts poll the store only while they receive no recent rows from
- * a holder. The load on the store thus does not grow with the number of hosts. Must be
+ * heartbeats; the other hosts call the store only when the rows that they have, from a
+ * holder or from the store, are no longer recent, and for a configuration that they were
+ * told of. The load on the store thus does not grow with the number of hosts. Must be
  * used on the event loop.
  */
 final class StoreFollower {
@@ -52,12 +53,16 @@
 
 	private long holderRowsNanos;
 
+	private boolean isHolder;
+
 	private StoreFollower(HostListFollower hosts, ConfigurationHolder configuration, StoreFeed operatorFeed,
 			StoreFeed serverFeed) {
 		this.hosts = hosts;
 		this.configuration = configuration;
 		this.operatorFeed = operatorFeed;
 		this.serverFeed = serverFeed;
+		operatorFeed.setContinuation(this::isOperatorTableNeeded);
+		serverFeed.setContinuation(() -> this.isHolder || !isRecent(serverFeed));
 	}
 
 	static StoreFollower create(StoreClient store, EventLoop loop, ConfigurationHolder configuration,
@@ -68,23 +73,36 @@
 				StoreFeed.create(store, loop, PlatformTables.BACKEND_SERVERS_TABLE, hosts));
 	}
 
-	// Polls the store, or stops polling while the holder passes on recent rows.
-	void tick(boolean isHolder) {
-		long now = System.nanoTime();
+	// Polls the store, or stops polling while this host has recent rows.
+	void tick(boolean isLeaseHolder) {
+		this.isHolder = isLeaseHolder;
 		this.pauseDetector.checkForPause();
-		boolean isRecent = this.hasHolderRows && now - this.holderRowsNanos < MAX_AGE_NANOS
+		updateFeed(this.operatorFeed, isOperatorTableNeeded());
+		updateFeed(this.serverFeed, this.isHolder || !isRecent(this.serverFeed));
+	}
+
+	private boolean isOperatorTableNeeded() {
+		return this.isHolder || this.configuration.isBehind() || !isRecent(this.operatorFeed);
+	}
+
+	// Returns whether this host has recent rows of a table, from the holder or from the
+	// store.
+	private boolean isRecent(StoreFeed feed) {
+		long now = System.nanoTime();
+		boolean isFromHolder = this.hasHolderRows && now - this.holderRowsNanos < MAX_AGE_NANOS
 				&& this.pauseDetector.isAfterPause(this.holderRowsNanos);
-		updateFeed(this.operatorFeed, isHolder, isRecent && !this.configuration.isBehind());
-		updateFeed(this.serverFeed, isHolder, isRecent);
+		boolean isFromStore = feed.isInitialized() && now - feed.lastResponseNanos() < MAX_AGE_NANOS
+				&& this.pauseDetector.isAfterPause(feed.lastCallStartNanos());
+		return isFromHolder || isFromStore;
 	}
 
-	private static void updateFeed(StoreFeed feed, boolean isHolder, boolean isRecent) {
-		feed.setWait(isHolder ? HOLDER_POLL_WAIT : StoreFeed.DEFAULT_WAIT);
-		if (isRecent && !isHolder) {
-			feed.pause();
+	private void updateFeed(StoreFeed feed, boolean isNeeded) {
+		feed.setWait(this.isHolder ? HOLDER_POLL_WAIT : StoreFeed.DEFAULT_WAIT);
+		if (isNeeded) {
+			feed.resume();
 		}
 		else {
-			feed.resume();
+			feed.pause();
 		}
 	}
 
@@ -93,6 +111,11 @@
 		return this.operatorFeed.isStoreUnavailable();
 	}
 
+	// Returns whether this host has read the operator's table.
+	boolean isOperatorTableRead() {
+		return this.operatorFeed.isInitialized();
+	}
+
 	// Returns whether this host has read the table of backend servers, from the store or
 	// from the holder.
 	boolean areServersKnown() {
--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -1,6 +1,8 @@
 package org.celeryhill.edge;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.HostId;
@@ -135,6 +137,99 @@
 		assertThat(this.other.configuration.isBehind()).isFalse();
 	}
 
+	// Guards against hosts that each make several calls to the store at their start,
+	// though
+	// one of them passes the rows on soon afterwards.
+	@Test
+	void startsWithOneCallForEachTable() throws Exception {
+		this.fixture.runUntil("other host knows the engine", () -> this.other.follower.tick(false),
+				() -> this.other.knows("i-1") && this.other.follower.isOperatorTableRead());
+		this.fixture.runUntil("holder knows the engine", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-1"));
+		int calls = this.fixture.store.callCount();
+		tickFor(2000, () -> {
+			this.other.follower.tick(false);
+			exchangeHeartbeat();
+			this.holder.follower.tick(true);
+		});
+		int holderCalls = this.fixture.store.callCount() - calls;
+		assertThat(calls).as("both tables by both hosts, first polls of the holder").isLessThanOrEqualTo(6);
+		assertThat(holderCalls).as("polls of the holder only, 0.6 s each").isLessThanOrEqualTo(10);
+	}
+
+	private void tickFor(long millis, Runnable tick) throws Exception {
+		long end = System.nanoTime() + millis * 1_000_000L;
+		while (System.nanoTime() < end) {
+			this.fixture.runOnLoop(tick);
+			Thread.sleep(20);
+		}
+	}
+
+	// Guards against hosts that each go on to call the store after they have read the
+	// configuration that they were told of.
+	@Test
+	void readsAnnouncedConfigurationWithOneCall() throws Exception {
+		this.fixture.store.put(PlatformTables.OPERATOR_TABLE, PlatformTables.CONFIGURATION,
+				FakePlatformService.configuration(3, "s", "/p/"));
+		this.fixture.runUntil("both know the configuration", this::tickBoth,
+				() -> this.holder.configuration.version() == 3 && this.other.configuration.version() == 3);
+		// A call of the other host that waits for changes ends after 2.5 s.
+		tickFor(3000, () -> {
+			exchangeHeartbeat();
+			tickBoth();
+		});
+		this.fixture.runOnLoop(this::exchangeHeartbeat);
+		stopHolder();
+		this.fixture.store.put(PlatformTables.OPERATOR_TABLE, PlatformTables.CONFIGURATION,
+				FakePlatformService.configuration(4, "s", "/q/"));
+		int calls = this.fixture.store.callCount(PlatformTables.OPERATOR_TABLE);
+		this.fixture.runUntil("other host reads the announced configuration", () -> {
+			this.other.configuration.recordAnnounced(4);
+			this.other.follower.tick(false);
+		}, () -> this.other.configuration.version() == 4);
+		tickFor(500, () -> this.other.follower.tick(false));
+		assertThat(this.fixture.store.callCount(PlatformTables.OPERATOR_TABLE) - calls).isEqualTo(1);
+	}
+
+	// Lets the last calls of the holder end without new ones.
+	private void stopHolder() throws Exception {
+		this.fixture.runOnLoop(() -> {
+			this.holder.follower.tick(false);
+			exchangeHeartbeat();
+		});
+		tickFor(700, () -> this.other.follower.tick(false));
+	}
+
+	// Guards against a holder that calls the store again at once for each row of many
+	// backend servers that change all the time.
+	@Test
+	void holderCollectsChanges() throws Exception {
+		this.fixture.runUntil("holder knows the engine", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-1"));
+		int calls = this.fixture.store.callCount();
+		int[] count = new int[1];
+		tickFor(2000, () -> {
+			this.fixture.store.put(PlatformTables.BACKEND_SERVERS_TABLE, "i-" + (2 + count[0]++ % 50),
+					this.service.hostListEntry("s", "ready"));
+			this.holder.follower.tick(true);
+		});
+		assertThat(this.fixture.store.callCount() - calls).as("in two seconds, with those for the operator's table")
+			.isLessThanOrEqualTo(20);
+		this.fixture.runUntil("holder knows the last ones", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-51"));
+	}
+
+	// Guards against a host that asks a store again and again that refuses its calls,
+	// before it asks the holder for the configuration that it was told of.
+	@Test
+	void asksForDocumentAtOnceIfStoreIsLost() throws Exception {
+		this.fixture.runOnLoop(() -> this.other.configuration
+			.applyIfNewer(FakePlatformService.configuration(3, "s", "/p/").getBytes(StandardCharsets.UTF_8), "test"));
+		this.other.configuration.recordAnnounced(5);
+		assertThat(this.other.configuration.isDocumentNeeded(false)).isFalse();
+		assertThat(this.other.configuration.isDocumentNeeded(true)).isTrue();
+	}
+
 	// Guards against a host that stays behind while the store refuses its calls, and
 	// against hosts that ask the holder before they have asked the store.
 	@Test
