Refuse at once what will be ready only after the latest time to start it

Cause: two rules that did not agree. A request for an absent model was held if the model was expected within two thirds of the time after which a caller gives up (3.2 s here); the queue gives up each request at its latest start (0.75 s). Change: ForwardCall holds it only if the model is expected before the latest start too; else 503 at once, with the expected time. Test: StreamForwardTests.refusesImmediatelyIfModelWillBeReadyAfterLatestStart, failed before.

--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -138,7 +138,8 @@
 	}
 
 	// Returns the time after which to retry if no engine is expected to serve the model
-	// before the caller abandons the request, else empty.
+	// before the caller abandons the request, or before the latest time to start it, else
+	// empty.
 	private Optional<Duration> findRetryDelay() {
 		if (this.requestMetadata.model().isEmpty()) {
 			return Optional.empty();
@@ -148,7 +149,8 @@
 			return Optional.empty();
 		}
 		Duration estimatedWait = this.forwarder.placementForecast().timeUntilReady(model).orElse(DEFAULT_LOAD_TIME);
-		boolean isInTime = estimatedWait.compareTo(abandonmentTime().multipliedBy(2).dividedBy(3)) < 0;
+		boolean isInTime = estimatedWait.compareTo(abandonmentTime().multipliedBy(2).dividedBy(3)) < 0
+				&& estimatedWait.compareTo(RevisionMapping.latestStart(this.route)) < 0;
 		return isInTime ? Optional.empty() : Optional.of(estimatedWait);
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/RevisionMapping.java
+++ b/forward/src/main/java/org/celeryhill/forward/RevisionMapping.java
@@ -111,7 +111,7 @@
 
 	// Returns the latest time to start a request. A stream that starts long after its
 	// target would take engine time from streams that can still meet theirs.
-	private static Duration latestStart(Route route) {
+	static Duration latestStart(Route route) {
 		if (route.kind() != Route.Kind.STREAM) {
 			return route.timeout();
 		}
--- a/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/StreamForwardTests.java
@@ -221,6 +221,21 @@
 		}
 	}
 
+	// Guards against requests that are held until the latest time to start them and then
+	// refused, although it was known that the model would be ready after that time.
+	@Test
+	void refusesImmediatelyIfModelWillBeReadyAfterLatestStart() throws Exception {
+		this.fixture.setPlacementForecast((model) -> Optional.of(Duration.ofMillis(1100)));
+		try (ScriptedServer engine = new ScriptedServer(StreamForwardTests::sendTwoEvents)) {
+			this.fixture.putServer("e0", ForwardFixture.ENGINE_SERVICE, engine, true);
+			long start = System.nanoTime();
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.generateRequest("/stream/x", "r1")))
+				.startsWith("HTTP/1.1 503")
+				.contains("retry-after: 1100");
+			assertThat(System.nanoTime() - start).isLessThan(400_000_000L);
+		}
+	}
+
 	// Guards against a request that is accepted seconds after SIGTERM on the connection
 	// of a stream that started before SIGTERM and ended after it.
 	@Test
