--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -145,6 +145,8 @@
 			this.fleetUsage.record(this.forwarder.usageTotals());
 			this.forwarder.observeOtherHosts(this.fleetUsage.sumWithout(this.host), this.members.count());
 			this.demandMeter.forgetInformedHost();
+			// The other hosts get the evidence in the responses to their heartbeats.
+			this.hasNewEvidence = false;
 			return;
 		}
 		this.targets.next(this.hasNewEvidence).ifPresent(this::sendHeartbeat);
--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -1,8 +1,8 @@
 package org.celeryhill.edge;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.DataCentre;
 import org.celeryhill.base.HostId;
