--- a/review/src/Site.java
+++ b/review/src/Site.java
@@ -2,6 +2,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -29,6 +31,12 @@
 
 	final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
 
+	private static final int FIRST_PORT = 12_000;
+
+	private static final int PORTS = 18_000;
+
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger((int) (ProcessHandle.current().pid() % 90 * 200));
+
 	final Store store;
 
 	final List<Edge> edges = new ArrayList<>();
@@ -65,9 +73,16 @@
 		return (System.nanoTime() - this.startNanos) / 1e9;
 	}
 
+	/** Returns an address whose port is below the range from which the system assigns ports itself. */
 	static InetSocketAddress freeAddress(String host) throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-			return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+		while (true) {
+			int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+				return new InetSocketAddress(socket.getInetAddress(), port);
+			}
+			catch (BindException ex) {
+				// The port is in use; try the next one.
+			}
 		}
 	}
 
