--- a/review/src/LostRemovalCase.java
+++ b/review/src/LostRemovalCase.java
@@ -15,17 +15,17 @@
  */
 final class LostRemovalCase {
 
-	private static final int EDGES = 6;
+	private static final int EDGES = 10;
 
-	private static final int ROUNDS = 8;
+	private static final int ROUNDS = 11;
 
 	private static final long DRAIN_MS = 2000;
 
 	/** Time for which the server serves after its entry is removed. */
-	private static final long SERVE_MS = DRAIN_MS + 4000;
+	private static final long SERVE_MS = DRAIN_MS + 2500;
 
 	/** Time from the end of a killed process to its restart. */
-	private static final long RESTART_DELAY_MS = 100;
+	private static final long RESTART_DELAY_MS = 50;
 
 	private final Site site;
 
