Add a review case: a daemon stops following the servers' table

Cause: an exception for a removed row with a blank key ends the feed of the table after the store has dropped its history. Change: review/4 adds such a row, removes it while the store drops its history, and counts requests that reach a server that drains later.

--- a/review/src/Store.java
+++ b/review/src/Store.java
@@ -33,9 +33,11 @@
 
 	private long version;
 
-	/** Called after a range read has been answered, with its table and the last key of the answer. */
-	volatile java.util.function.BiConsumer<String, String> afterRead = (table, key) -> {
-	};
+	/** Changes up to this version are no longer available. */
+	private long droppedVersion;
+
+	/** Whether the feeds hear nothing. */
+	private boolean isMuted;
 
 	private record Row(String key, String value, long version) {
 	}
@@ -68,6 +70,21 @@
 		notifyAll();
 	}
 
+	/** Makes changes of which no feed hears, drops the history after a second and cuts the feeds. */
+	void compact(Runnable changes) {
+		synchronized (this) {
+			this.isMuted = true;
+			changes.run();
+		}
+		pause(1000);
+		synchronized (this) {
+			this.droppedVersion = this.version;
+			this.tables.values().forEach((rows) -> rows.values().removeIf((row) -> row.value == null));
+			this.isMuted = false;
+			notifyAll();
+		}
+	}
+
 	/** Returns the decoded value of a row, null if there is none. */
 	synchronized JsonNode get(String table, String key) throws IOException {
 		Row row = rows(table).get(key);
@@ -118,7 +135,6 @@
 		ArrayNode list = reply.putArray("rows");
 		int limit = Math.min(MAX_ROWS, Integer.parseInt(query.getOrDefault("limit", "500")));
 		boolean truncated = false;
-		String last = "";
 		synchronized (this) {
 			for (Row row : rows(query.get("table")).tailMap(query.getOrDefault("from", ""), true).values()) {
 				if (row.value == null || (query.containsKey("to") && row.key.compareTo(query.get("to")) >= 0)) {
@@ -129,13 +145,11 @@
 					break;
 				}
 				add(list, query.get("table"), row);
-				last = row.key;
 			}
 			reply.put("truncated", truncated);
 			finishReply(reply);
 		}
 		send(exchange, 200, reply);
-		this.afterRead.accept(query.get("table"), last);
 	}
 
 	private void feed(HttpExchange exchange) throws IOException {
@@ -146,8 +160,12 @@
 		ArrayNode list = reply.putArray("rows");
 		pause(4);
 		synchronized (this) {
+			if (after < this.droppedVersion) {
+				send(exchange, 410, JSON.createObjectNode());
+				return;
+			}
 			List<Row> changed = changes(query.get("table"), after);
-			while (changed.isEmpty() && System.nanoTime() < end) {
+			while (this.isMuted || (changed.isEmpty() && System.nanoTime() < end)) {
 				try {
 					wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
 				}
@@ -155,6 +173,10 @@
 					return;
 				}
 				changed = changes(query.get("table"), after);
+				if (after < this.droppedVersion) {
+					exchange.close();
+					return;
+				}
 			}
 			changed.forEach((row) -> add(list, query.get("table"), row));
 			finishReply(reply);
