Do not take a failed connection for the end of a response without length

Cause: a response with neither a length nor chunks ends with its connection. The decoder ends such a response whenever the channel becomes inactive. If bytes of the request wait to be written when the connection is reset, the write fails first, the library closes the channel without an exception for the reader, and the end of the channel looked like that of the response.

Evidence: ResponseWithoutLengthTests fails on the code before in 6 of 12 cases: 200, 404 and 500 with a part of their body, a server that closes with unread bytes, and two streams that end with their end marker after the first of their events. The regular ends passed before and pass now.

Change: connections to backend servers allow half-closure, so that the regular end of what a server sends is handled while the channel is active. A response without length that ends on an inactive channel has failed. That covers answers, streams, refusals and the JSON calls to the store, to engines and between hosts, which use the same client.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -52,6 +52,8 @@
 		this.bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
+			// Tells the regular end of what a server sends from a broken connection.
+			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -117,7 +118,7 @@
 				this.exchange.listener().onBody(content.content());
 			}
 			if (message instanceof LastHttpContent && !this.exchange.isEnded()) {
-				completeExchange(ctx);
+				endExchange(ctx);
 			}
 		}
 	}
@@ -134,6 +135,19 @@
 		}
 	}
 
+	// The decoder ends a response that is delimited by the end of the connection whenever
+	// the channel ends. The channel is still active if the server has ended the
+	// connection
+	// regularly, and no longer if it failed, as when a write met a reset.
+	private void endExchange(ChannelHandlerContext ctx) {
+		if (this.isDelimitedByClose && !ctx.channel().isActive()) {
+			failExchange("connection failed within a response without length");
+		}
+		else {
+			completeExchange(ctx);
+		}
+	}
+
 	private void completeExchange(ChannelHandlerContext ctx) {
 		BackendClient.Exchange completedExchange = this.exchange;
 		this.exchange = null;
@@ -165,6 +179,14 @@
 		failExchange("connection failed: " + cause);
 	}
 
+	// The decoder has handled the end of the input before this.
+	@Override
+	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			ctx.close();
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.client.removeFromPool(this);
--- /dev/null
+++ b/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
@@ -0,0 +1,187 @@
+package org.celeryhill.forward;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link Forwarder} with responses that have neither a length nor chunks, and
+ * that end with their connection.
+ */
+@Timeout(30)
+class ResponseWithoutLengthTests {
+
+	/**
+	 * More than the buffers of the connection hold, so that a part waits to be written.
+	 */
+	private static final String LONG_BODY = "b".repeat(IngressLimits.DEFAULTS.maxBodyBytes());
+
+	private static final String PART = "part 1 is stored;";
+
+	private static final String REMAINDER = "part 2 is stored";
+
+	private static final String EVENT = "id: 1\ndata: t1\n\n";
+
+	/** Long enough for what was sent to be read by the client. */
+	private static final long PAUSE_MS = 150;
+
+	private ForwardFixture fixture;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fixture = new ForwardFixture().configure();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(PAUSE_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void startResponse(ScriptedServer.ReceivedRequest request, ScriptedServer.Connection connection,
+			int status, String text) throws IOException {
+		connection.send("HTTP/1.1 " + status + " Status\r\nid: " + request.header("id", "")
+				+ "\r\nsigned: s\r\nconnection: close\r\n\r\n" + text);
+		pause();
+	}
+
+	private String post(ScriptedServer.Script script) throws Exception {
+		try (ScriptedServer server = ScriptedServer.createForHeads(script)) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			return this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", LONG_BODY));
+		}
+	}
+
+	private String generate(String path, ScriptedServer.Script script) throws Exception {
+		try (ScriptedServer server = ScriptedServer.createForHeads(script)) {
+			this.fixture.addServer("e1", ForwardFixture.ENGINE_SERVICE, server);
+			String request = ForwardFixture.postRequest(path, "r1", LONG_BODY)
+				.replace("id: r1\r\n", "id: r1\r\nmodel: " + ForwardFixture.MODEL + "\r\n");
+			return this.fixture.sendAndReadAll(request);
+		}
+	}
+
+	// Guards against a part of a response that reaches the caller as the whole, when the
+	// server is killed while the body of the request is being written.
+	@ParameterizedTest
+	@ValueSource(ints = { 200, 404, 500 })
+	void resetDuringRequestBodyIsNoEnd(int status) throws Exception {
+		String response = post((request, connection) -> {
+			startResponse(request, connection, status, PART);
+			connection.reset();
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+	}
+
+	// Guards against the same if the server closes its end with bytes of the request
+	// unread, which resets the connection.
+	@Test
+	void closeWithUnreadRequestBodyIsNoEnd() throws Exception {
+		String response = post((request, connection) -> {
+			startResponse(request, connection, 200, PART);
+			connection.socket().close();
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+	}
+
+	// Guards against a stream that ends as if it were complete, when its engine is killed
+	// between two events while the body of the request is being written.
+	@ParameterizedTest
+	@ValueSource(strings = { "/stream/x", "/resumable/x" })
+	void resetDuringRequestBodyBreaksStreamOff(String path) throws Exception {
+		String response = generate(path, (request, connection) -> {
+			startResponse(request, connection, 200, EVENT);
+			connection.reset();
+		});
+		assertThat(response).contains("data: t1").doesNotEndWith("0\r\n\r\n");
+	}
+
+	// Guards against a reset that is taken for an end after the whole request was
+	// written.
+	@Test
+	void resetAfterRequestBodyIsNoEnd() throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			startResponse(request, connection, 200, PART);
+			connection.reset();
+		})) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", "b")))
+				.startsWith("HTTP/1.1 502")
+				.doesNotContain(PART);
+		}
+	}
+
+	// Guards against a whole response that is dropped because it ends while the body of
+	// the request is being written.
+	@Test
+	void regularEndDuringRequestBodyIsWhole() throws Exception {
+		String response = post((request, connection) -> {
+			startResponse(request, connection, 200, PART);
+			connection.send(REMAINDER);
+			connection.endOutput();
+		});
+		assertThat(response).startsWith("HTTP/1.1 200").endsWith(PART + REMAINDER);
+	}
+
+	// Guards against the same for a stream.
+	@Test
+	void regularEndDuringRequestBodyEndsStream() throws Exception {
+		String response = generate("/stream/x", (request, connection) -> {
+			startResponse(request, connection, 200, EVENT);
+			connection.endOutput();
+		});
+		assertThat(response).startsWith("HTTP/1.1 200").contains("data: t1").endsWith("0\r\n\r\n");
+	}
+
+	// Guards against a whole response that is dropped because its server closes the
+	// connection instead of one direction of it.
+	@Test
+	void closeAfterRequestBodyIsWhole() throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			startResponse(request, connection, 200, PART + REMAINDER);
+			connection.socket().close();
+		})) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", "b")))
+				.startsWith("HTTP/1.1 200")
+				.endsWith(PART + REMAINDER);
+		}
+	}
+
+	// Guards against a response with a length that is taken for broken because its server
+	// closes the connection early.
+	@Test
+	void earlyResponseWithLengthIsWhole() throws Exception {
+		String response = post((request, connection) -> {
+			connection.respond(request, 200, "signed: s\r\nconnection: close\r\n", PART);
+			connection.endOutput();
+		});
+		assertThat(response).startsWith("HTTP/1.1 200").endsWith(PART);
+	}
+
+	// Guards against a response with a length that ends too early and is taken for whole.
+	@Test
+	void shortResponseWithLengthIsNoEnd() throws Exception {
+		String response = post((request, connection) -> {
+			connection.send("HTTP/1.1 200 OK\r\nid: r1\r\nsigned: s\r\ncontent-length: 100\r\n\r\n" + PART);
+			connection.endOutput();
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+	}
+
+}
--- a/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
+++ b/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
@@ -25,16 +25,34 @@
 
 	private final LinkedBlockingQueue<String> closeEvents = new LinkedBlockingQueue<>();
 
-	private final ServerSocket listener;
+	private static final int SMALL_RECEIVE_BUFFER_BYTES = 65_536;
+
+	private final ServerSocket listener = new ServerSocket();
 
 	private final Script script;
 
+	private final boolean isBodyRead;
+
 	ScriptedServer(Script script) throws IOException {
+		this(script, true);
+	}
+
+	private ScriptedServer(Script script, boolean isBodyRead) throws IOException {
 		this.script = script;
-		this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		this.isBodyRead = isBodyRead;
+		if (!isBodyRead) {
+			this.listener.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+		}
+		this.listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
 		startThread(this::acceptConnections);
 	}
 
+	// Returns a server that calls its script when it has read the head of a request. The
+	// script can read the body, of which the client cannot send much before that.
+	static ScriptedServer createForHeads(Script script) throws IOException {
+		return new ScriptedServer(script, false);
+	}
+
 	private static void startThread(Runnable task) {
 		Thread thread = new Thread(task, "scripted-server");
 		thread.setDaemon(true);
@@ -83,7 +101,7 @@
 		try (socket) {
 			InputStream in = socket.getInputStream();
 			while (true) {
-				ReceivedRequest request = readRequest(in);
+				ReceivedRequest request = readRequest(in, this.isBodyRead);
 				if (request == null) {
 					return;
 				}
@@ -100,7 +118,7 @@
 		}
 	}
 
-	private static ReceivedRequest readRequest(InputStream in) throws IOException {
+	private static ReceivedRequest readRequest(InputStream in, boolean isBodyRead) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
 			int next = in.read();
@@ -111,6 +129,9 @@
 		}
 		List<String> lines = new ArrayList<>(List.of(head.toString().split("\r\n")));
 		ReceivedRequest request = new ReceivedRequest(lines, "");
+		if (!isBodyRead) {
+			return request;
+		}
 		int length = Integer.parseInt(request.header("content-length", "0"));
 		String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
 		return new ReceivedRequest(lines, body);
@@ -182,6 +203,12 @@
 			send("0\r\n\r\n");
 		}
 
+		// Ends the response regularly and reads what the client still sends.
+		void endOutput() throws IOException {
+			this.socket.shutdownOutput();
+			this.socket.getInputStream().skip(Long.MAX_VALUE);
+		}
+
 		void reset() throws IOException {
 			this.socket.setSoLinger(true, 0);
 			this.socket.close();
