Do not take a failed connection for the end of a plain service's response

Callers of a plain service could get a part of a response without length as the whole, if its server was killed while the body of the request was being written.

Cause: OkHttp goes on with the response after a failed write of the request. The failed write has consumed the error of the connection, so that the read ends as at a regular end.

Evidence: FailureMappingTests.resetDuringRequestBodyIsUnknown fails on the code before: CallCompleted with status 200 in place of CallUnknown.

A response without length after that has an unknown outcome. Engine streams (StreamCall) end at a failed write and are not affected.

--- a/http/src/main/java/org/celeryhill/http/HttpRequestSender.java
+++ b/http/src/main/java/org/celeryhill/http/HttpRequestSender.java
@@ -89,6 +89,9 @@
 		Call call = newCall(builder, tracker);
 		call.timeout().timeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
 		try (Response response = call.execute()) {
+			if (tracker.isWriteFailed() && isDelimitedByClose(response)) {
+				return new Unknown("connection failed within a response without length");
+			}
 			byte[] body = readBody(response.body());
 			return new CompleteResponse(response.code(), response.headers(), body);
 		}
@@ -98,6 +101,10 @@
 		}
 	}
 
+	private static boolean isDelimitedByClose(Response response) {
+		return response.body().contentLength() < 0 && response.header("Transfer-Encoding") == null;
+	}
+
 	Call newCall(Request.Builder builder, SendTracker tracker) {
 		return this.client.newCall(builder.tag(SendTracker.class, tracker).build());
 	}
--- a/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
+++ b/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
@@ -39,6 +39,9 @@
 	 */
 	private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
 
+	/** More than the buffers of a connection hold, so that a part waits to be written. */
+	private static final int LONG_BODY_BYTES = 32 << 20;
+
 	/** Timeout of the test that checks timeouts. */
 	private static final Duration SHORT_TIMEOUT = Duration.ofSeconds(1);
 
@@ -91,6 +94,30 @@
 		}
 	}
 
+	// Guards against delivering a part of a response without length as the whole, when
+	// the server is killed while the body of the request is being written.
+	@Test
+	void resetDuringRequestBodyIsUnknown() throws IOException {
+		try (RawServer server = RawServer.start((connection) -> {
+			connection.socket().getInputStream().readNBytes(100);
+			connection.writeText("HTTP/1.1 200 x\r\n\r\nhalf");
+			pause(300);
+			connection.socket().setSoLinger(true, 0);
+			connection.socket().close();
+		})) {
+			assertThat(sendCall(server.uri(), new byte[LONG_BODY_BYTES])).isInstanceOf(PlainService.CallUnknown.class);
+		}
+	}
+
+	private static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// Guards against calls without a response timeout, which could block their caller
 	// forever.
 	@Test
@@ -210,9 +237,17 @@
 	}
 
 	private static CallResult sendCall(URI uri, String method, Duration timeout) {
+		return sendCall(uri, method, new byte[] { '{', '}' }, timeout);
+	}
+
+	private static CallResult sendCall(URI uri, byte[] body) {
+		return sendCall(uri, "POST", body, LONG_TIMEOUT);
+	}
+
+	private static CallResult sendCall(URI uri, String method, byte[] body, Duration timeout) {
 		PlainService service = HttpPlainService.create(BackendServerId.of("s"), uri, CLIENT, SETTINGS);
 		PlainService.Call call = new PlainService.Call(AttemptId.of("a"), method, "/bookings?x=1",
-				Map.of("Content-Type", "application/json"), new byte[] { '{', '}' });
+				Map.of("Content-Type", "application/json"), body);
 		return service.call(call, timeout);
 	}
 
