--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -97,6 +97,52 @@
 		assertThat(System.nanoTime() - since).isLessThan(2_000_000_000L);
 	}
 
+	// Guards against requests to an engine that has left, when the process of the holder
+	// is
+	// replaced: the new one has read the table after the removal and does not know of it.
+	@Test
+	void learnsOfRemovalThatPrecedesFirstReadOfHolder() throws Exception {
+		this.fixture.runUntil("both know the engine", () -> {
+			tickBoth();
+			exchangeHeartbeat();
+		}, () -> this.other.knows("i-1"));
+		stopHolder();
+		this.fixture.store.remove(PlatformTables.BACKEND_SERVERS_TABLE, "i-1");
+		this.fixture.store.put(PlatformTables.BACKEND_SERVERS_TABLE, "i-2", this.service.hostListEntry("s", "ready"));
+		this.holder = new Host();
+		this.fixture.runUntil("new holder has read the table", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-2"));
+		this.fixture.runUntil("other host knows the new engine", this::exchangeHeartbeat,
+				() -> this.other.knows("i-2"));
+		assertThat(this.other.knows("i-1")).isFalse();
+	}
+
+	// Guards against the same when the holder has read the whole table again after its
+	// history was dropped, and an engine came and went in between.
+	@Test
+	void learnsOfRemovalThatPrecedesRepeatedReadOfHolder() throws Exception {
+		this.fixture.runUntil("holder knows the engine", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-1"));
+		this.fixture.store.setFault(FakePlatformStore.Fault.BUSY);
+		this.fixture.runUntil("holder loses the store", () -> this.holder.follower.tick(true),
+				() -> this.holder.follower.isOperatorTableLost());
+		this.fixture.store.put(PlatformTables.BACKEND_SERVERS_TABLE, "i-3", this.service.hostListEntry("s", "ready"));
+		this.fixture.store.setFault(FakePlatformStore.Fault.NONE);
+		this.fixture.runUntil("other host reads the short-lived engine itself", () -> this.other.follower.tick(false),
+				() -> this.other.knows("i-3"));
+		this.fixture.store.setFault(FakePlatformStore.Fault.BUSY);
+		this.fixture.store.remove(PlatformTables.BACKEND_SERVERS_TABLE, "i-3");
+		this.fixture.store.put(PlatformTables.BACKEND_SERVERS_TABLE, "i-2", this.service.hostListEntry("s", "ready"));
+		this.fixture.store.dropHistory();
+		this.fixture.store.setFault(FakePlatformStore.Fault.NONE);
+		this.fixture.runUntil("holder has read the table again", () -> this.holder.follower.tick(true),
+				() -> this.holder.knows("i-2"));
+		this.fixture.runUntil("other host knows the new engine", this::exchangeHeartbeat,
+				() -> this.other.knows("i-2"));
+		this.fixture.runUntil("other host no longer uses the short-lived one", this::exchangeHeartbeat,
+				() -> !this.other.knows("i-3"));
+	}
+
 	// Guards against requests to an engine that has left, when the holder loses the store
 	// for a moment and reads the removal of the entry through another host.
 	@Test
