Go on sending commands to an engine after an odd report

A report with a blank name among the adapters that are being loaded, or with a resident model that cannot be decoded, ended the future of PlatformEngineClient.readState with an exception, against its Javadoc. EngineCommander then took its call for pending for ever: the engine got no load or unload from this holder any more, without a line in the log. EngineCommanderTests.oddReportDoesNotEndCommands fails on the code before in its three cases.

--- a/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/EngineCommanderTests.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -46,9 +48,7 @@
 		this.fixture = new ControlFixture();
 		this.engine = new FakePlatformEngine("i-1", 100, Map.of("one", 70L, "two", 70L)).withModel("one");
 		this.leadership = this.fixture.createLeadership("10.0.0.1:80");
-		this.commander = new EngineCommander(this.fixture.loop.loop(),
-				PlatformEngineClient.create(this.fixture.loop.httpClient(), (engine) -> {
-				}), this.leadership, new EdgeMetrics(), "h1", entry(), profile());
+		this.commander = createCommander();
 		this.fixture.runUntil("state is known", this::tick, this.commander::isReadyForCommand);
 	}
 
@@ -58,6 +58,12 @@
 		this.fixture.close();
 	}
 
+	private EngineCommander createCommander() {
+		return new EngineCommander(this.fixture.loop.loop(),
+				PlatformEngineClient.create(this.fixture.loop.httpClient(), (engine) -> {
+				}), this.leadership, new EdgeMetrics(), "h1", entry(), profile());
+	}
+
 	private static EngineProfile profile() {
 		List<EngineProfile.Model> models = List.of(model(MODEL_ONE), model(MODEL_TWO));
 		return new EngineProfile(8, 1000, 2, 100_000_000L, 2, 1, models);
@@ -82,6 +88,21 @@
 		return new RequestMetadata.ModelName(MODEL_ONE, Optional.of(name));
 	}
 
+	// Guards against an engine that gets no commands any more after one odd report.
+	@ParameterizedTest
+	@ValueSource(strings = { "", " ", "@1" })
+	void oddReportDoesNotEndCommands(String pendingAdapter) throws Exception {
+		this.engine.setPendingAdapters(List.of(pendingAdapter));
+		this.commander = createCommander();
+		for (int i = 0; i < 20; i++) {
+			this.fixture.runOnLoop(this::tick);
+			Thread.sleep(20);
+		}
+		assertThat(this.fixture.callOnLoop(this.commander::isReadyForCommand)).isFalse();
+		this.engine.setPendingAdapters(List.of());
+		this.fixture.runUntil("state is known", this::tick, this.commander::isReadyForCommand);
+	}
+
 	// Guards against a swap that needs memory for both models at the same time.
 	@Test
 	void unloadsBeforeLoading() throws Exception {
