Go on asking for the lease after a call that failed unexpectedly

An exception in the thread that calls the lease store left the call pending for ever: the host neither renewed nor acquired the lease again. LeadershipTests.callThatFailsUnexpectedlyDoesNotEndLeadership fails on the code before.

--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -111,11 +111,23 @@
 		this.lastCallNanos = now;
 		Optional<Lease> held = this.lease;
 		this.worker.execute(() -> {
-			Object result = held.isPresent() ? this.leaseStore.renew(held.get()) : this.leaseStore.acquire(LEASE_NAME);
+			Object result = callLeaseStore(held);
 			this.loop.execute(() -> handleResult(held, result));
 		});
 	}
 
+	// Renews or acquires the lease. An unexpected failure is an unknown result, as the
+	// next
+	// call is made only after the result of this one.
+	private Object callLeaseStore(Optional<Lease> held) {
+		try {
+			return held.isPresent() ? this.leaseStore.renew(held.get()) : this.leaseStore.acquire(LEASE_NAME);
+		}
+		catch (RuntimeException ex) {
+			return ex;
+		}
+	}
+
 	private void checkForPause() {
 		if (this.pauseDetector.checkForPause()) {
 			LOG.warn("pause_suspected", "holder", this.lease.isPresent());
--- a/edge/src/test/java/org/celeryhill/edge/ControlFixture.java
+++ b/edge/src/test/java/org/celeryhill/edge/ControlFixture.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.HostId;
@@ -37,9 +38,13 @@
 
 	Leadership createLeadership(String address) {
 		AtomicLong count = new AtomicLong();
+		return createLeadership(address, () -> AttemptId.of(address + "-" + count.incrementAndGet()));
+	}
+
+	Leadership createLeadership(String address, Supplier<AttemptId> attemptIds) {
 		ConditionalWriter writer = ConditionalWriter.create(
-				StoreTableService.create(StoreClient.create(this.loop.httpClient(), this.store.address())),
-				() -> AttemptId.of(address + "-" + count.incrementAndGet()), RetryPolicy.immediate());
+				StoreTableService.create(StoreClient.create(this.loop.httpClient(), this.store.address())), attemptIds,
+				RetryPolicy.immediate());
 		LeaseStore leases = LeaseStore.createForSoleProcess(writer, SystemTimerService.create(), HostId.of(address),
 				HANDOVER_GAP);
 		return new Leadership(this.loop.loop(), leases, new EdgeMetrics(), HANDOVER_GAP, HANDOVER_GAP);
--- a/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
@@ -1,5 +1,8 @@
 package org.celeryhill.edge;
 
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.celeryhill.base.AttemptId;
 import org.celeryhill.platform.FakePlatformStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -140,4 +143,20 @@
 		this.fixture.runUntil("second holder", second::tick, second::isHolder);
 	}
 
+	// Guards against a host that never asks for the lease again after one call that
+	// failed
+	// in an unexpected way.
+	@Test
+	void callThatFailsUnexpectedlyDoesNotEndLeadership() throws Exception {
+		AtomicInteger count = new AtomicInteger();
+		Leadership first = this.fixture.createLeadership("10.0.0.1:80", () -> {
+			if (count.incrementAndGet() % 3 == 0) {
+				throw new IllegalStateException("no id");
+			}
+			return AttemptId.of("first-" + count.get());
+		});
+		this.fixture.runUntil("holder", first::tick, first::isHolder);
+		this.fixture.runUntil("three renewals", first::tick, () -> count.get() > 6 && first.isHolder());
+	}
+
 }
