Handle the messages of a caller's connection in the order in which they were read

Cause: when a response is handed over, the messages that wait are handled in a later task. A message that the event loop read before that task was handled at once, ahead of them: content whose head still waited was dropped, and a later request overtook an earlier one. For the same reason a connection with a waiting request was closed as idle in a planned stop, after the request had been passed on.

Evidence: the three cases of IngressConnectionTests fail on the code before, without timing.

Change: a message waits as long as others do, and a connection with waiting messages isn't idle.

--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -85,7 +85,8 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.isHandlingRequest) {
+		// Later messages must not overtake those that wait to be handled.
+		if (this.isHandlingRequest || !this.waiting.isEmpty()) {
 			this.waiting.add((HttpObject) message);
 			if (this.waiting.size() > MAX_QUEUED_MESSAGES) {
 				ctx.channel().config().setAutoRead(false);
@@ -268,7 +269,7 @@
 	}
 
 	void closeIfIdle() {
-		if (!this.isHandlingRequest && this.currentRequest == null) {
+		if (!this.isHandlingRequest && this.currentRequest == null && this.waiting.isEmpty()) {
 			this.context.close();
 		}
 	}
