Reset the connection of an exchange that is given up

Cause: a call that times out closed its connection. What a cut of the network holds up is then still delivered once it heals.

Change: an exchange that is cancelled or that failed resets its connection, so that the system discards what it has not sent. This covers commands to engines, calls to the store and between hosts, and requests whose caller has left. Connections of complete exchanges are closed as before.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -179,6 +179,15 @@
 		}
 	}
 
+	// Closes a connection in such a way that the system discards what it has not sent and
+	// the other end sees a reset.
+	static void reset(Channel channel) {
+		if (channel.isOpen()) {
+			channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
+		channel.close();
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
@@ -241,7 +250,8 @@
 		}
 
 		/**
-		 * Ends the exchange and closes its connection without notifying the listener.
+		 * Ends the exchange and resets its connection without notifying the listener, so
+		 * that bytes of the request that the network holds up do not arrive later.
 		 */
 		public void cancel() {
 			if (this.isEnded) {
@@ -250,7 +260,7 @@
 			this.isEnded = true;
 			releaseRequest();
 			if (this.channel != null) {
-				this.channel.close();
+				reset(this.channel);
 			}
 			else if (this.connectFuture != null) {
 				this.connectFuture.cancel(false);
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -168,7 +168,7 @@
 	private void failExchange(String detail) {
 		BackendClient.Exchange failed = this.exchange;
 		this.exchange = null;
-		this.context.close();
+		BackendClient.reset(this.context.channel());
 		if (failed != null) {
 			failed.fail(ExchangeListener.Failure.MAY_HAVE_RUN, detail);
 		}
--- a/forward/src/test/java/org/celeryhill/forward/EndlessResponseTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/EndlessResponseTests.java
@@ -6,6 +6,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -79,6 +81,24 @@
 		assertGivenUp("signed: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-more: 1\r\n");
 	}
 
+	// Guards against bytes without end that are no response, or that stand where a
+	// response
+	// has a single line.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "HTTP/1.1 ", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\n",
+			"HTTP/1.1 200 OK\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n5;",
+			"HTTP/1.1 200 OK\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx",
+			"HTTP/1.1 200 OK\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n" })
+	void givesUpOnEndlessLine(String start) throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			connection.send(start.replace("signed:", "id: " + request.header("id", "") + "\r\nsigned:"));
+			connection.sendUntilClosed("0".repeat(0x2000), MAX_BYTES);
+		})) {
+			assertGivenUp(server);
+		}
+	}
+
 	// Guards against bytes without end after a complete response: the caller gets the
 	// response, and the connection is closed.
 	@Test
