Bound the memory of responses that wait for slow callers

Cause: a response that was handed to a connection was copied to direct memory as a whole and counted nowhere. Once that was used up the write failed, and nobody looked at the result.

Change: a long response stays on the heap and is handed over in parts of 64 KB as the connection takes them. Responses that wait count towards the limit of 32 MB for those that are incomplete. Past that the largest incomplete response of a server that may be delivered is passed on as it arrives, and its server is read only as fast as its caller reads; it was given up before. If it breaks then, its connection ends without an end marker. A failed write is logged (response_not_delivered), and a caller that takes nothing for the idle timeout is closed (caller_stalled). While the memory suffices nothing changes.

--- a/forward/src/main/java/org/celeryhill/forward/ExchangeListener.java
+++ b/forward/src/main/java/org/celeryhill/forward/ExchangeListener.java
@@ -21,6 +21,13 @@
 	 */
 	void onBody(ByteBuf bytes);
 
+	/**
+	 * Called after the parts of the response body that arrived together.
+	 */
+	default void onReadComplete() {
+		// Listeners that handle each part at once need no further call.
+	}
+
 	/**
 	 * Called when the response is complete.
 	 */
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -69,11 +69,14 @@
 
 	private long startNanos;
 
+	/** The response if it is passed on to the caller before it is complete, else null. */
+	private PassedResponse passedResponse;
+
 	private boolean isServedRecorded;
 
 	private boolean isFinished;
 
-	boolean isDetached;
+	private boolean isDetached;
 
 	ForwardAttempt(ForwardCall call, AttemptId id) {
 		this.call = call;
@@ -180,14 +183,70 @@
 			relayEvents(bytes);
 			return;
 		}
+		if (this.passedResponse != null) {
+			passOn(bytes);
+			return;
+		}
 		if (this.body == null) {
 			this.body = Unpooled.buffer(bytes.readableBytes());
 		}
 		int count = bytes.readableBytes();
 		this.body.writeBytes(bytes);
-		this.call.forwarder.responseBuffers()
-			.add(this, count)
-			.ifPresent((attempt) -> attempt.abortExchange("response is too long"));
+		this.call.forwarder.responseBuffers().add(this, count).ifPresent(ForwardAttempt::reduceMemory);
+	}
+
+	// Keeps the response in memory no longer: it is passed on as it arrives, or given up.
+	private void reduceMemory() {
+		if (this.isDetached) {
+			this.call.forwarder.responseBuffers().remove(this);
+			this.body = null;
+			return;
+		}
+		if (ResponseBuffers.isTooLong(this.body.readableBytes()) || !isSuccess() || !isDeliverable()) {
+			abortExchange("response is too long");
+			return;
+		}
+		LOG.info("response_passed_on", "request", this.call.key, "attempt", this.id, "server", serverId(), "bytes",
+				this.body.readableBytes());
+		this.call.forwarder.responseBuffers().remove(this);
+		this.call.isStreaming = true;
+		this.call.channel.startStream(this.response.status(), HopByHopHeaders.copyEndToEnd(this.response.headers()));
+		this.passedResponse = new PassedResponse(this.call.channel);
+		ByteBuf arrived = this.body;
+		this.body = null;
+		passOn(arrived);
+	}
+
+	private void passOn(ByteBuf bytes) {
+		if (ResponseBuffers.isTooLong(this.passedResponse.add(bytes))) {
+			abortExchange("response is too long");
+			return;
+		}
+		this.exchange.setReading(this.passedResponse.write());
+	}
+
+	// Goes on with a response that was paused because the caller was slow.
+	void resume() {
+		if (this.passedResponse == null) {
+			this.exchange.setReading(true);
+			return;
+		}
+		boolean isWritten = this.passedResponse.write();
+		if (this.isFinished) {
+			endPassedResponse();
+		}
+		else {
+			this.exchange.setReading(isWritten);
+		}
+	}
+
+	boolean isPassedOn() {
+		return this.passedResponse != null;
+	}
+
+	// Returns whether the caller took bytes of the response since the last call.
+	boolean hasCallerProgressed() {
+		return this.passedResponse.hasProgressed();
 	}
 
 	private void relayEvents(ByteBuf bytes) {
@@ -259,11 +318,14 @@
 		else if (this.eventSplitter != null) {
 			endStream();
 		}
+		else if (this.passedResponse != null) {
+			finish(AttemptOutcome.COMPLETED);
+			endPassedResponse();
+		}
 		else if (this.call.isStreaming) {
 			handleFailureAfterSend("stream not continued: status " + this.response.status().code());
 		}
-		else if (isSuccess()
-				&& (!this.responseMetadata.isSigned() || HopByHopHeaders.hasContentEncoding(this.response.headers()))) {
+		else if (isSuccess() && !isDeliverable()) {
 			abortExchange("successful response without signature or with a content encoding");
 		}
 		else {
@@ -271,6 +333,21 @@
 		}
 	}
 
+	// Returns whether the response is one of a backend server in a form that the caller
+	// asked for.
+	private boolean isDeliverable() {
+		return this.responseMetadata.isSigned() && !HopByHopHeaders.hasContentEncoding(this.response.headers());
+	}
+
+	private void endPassedResponse() {
+		if (!this.passedResponse.isWritten() || this.isServedRecorded) {
+			return;
+		}
+		recordServed();
+		this.call.finish(this.response.status().code(), "complete");
+		this.call.channel.endStream();
+	}
+
 	private void retryNotExecuted() {
 		finish(AttemptOutcome.REFUSED);
 		boolean isMisdirected = this.response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
@@ -371,6 +448,10 @@
 				this.call.eventCount, "cause", detail);
 	}
 
+	boolean isDetached() {
+		return this.isDetached;
+	}
+
 	void cancel() {
 		if (this.exchange != null && !this.isFinished) {
 			this.exchange.cancel();
@@ -387,7 +468,14 @@
 		}
 	}
 
-	void cancelAtDeadline(AttemptId attemptId) {
+	// Lets the request run to its end or to the deadline, without a caller.
+	void detach() {
+		this.isDetached = true;
+		this.exchange.setReading(true);
+		cancelAtDeadline();
+	}
+
+	private void cancelAtDeadline() {
 		long delay = this.call.deadlineNanos - System.nanoTime();
 		this.call.forwarder.loop().schedule(() -> {
 			if (!this.isFinished) {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -65,7 +65,7 @@
 
 	final long deadlineNanos;
 
-	private final Future<?> expiryTimer;
+	private Future<?> expiryTimer;
 
 	private ForwardAttempt attempt;
 
@@ -274,6 +274,10 @@
 
 	// Queues the request for another attempt if that is allowed, else ends it.
 	void retryOrEnd(String reason) {
+		if (isResponsePassedOn()) {
+			abort(reason);
+			return;
+		}
 		boolean isAllowed = !this.mayHaveRun
 				|| (this.route.isRetryable() && this.executionCount < this.route.maxAttempts());
 		boolean isQuarantined = this.forwarder.promptGuard().isQuarantined(this.traits);
@@ -304,11 +308,20 @@
 		}
 	}
 
+	private boolean isResponsePassedOn() {
+		return this.attempt != null && this.attempt.isPassedOn();
+	}
+
 	void expire() {
 		if (this.isEnded) {
 			return;
 		}
-		if (this.isStreaming) {
+		if (isResponsePassedOn() && this.attempt.hasCallerProgressed()) {
+			// The caller takes a response that has arrived in time, if slowly.
+			long delay = this.forwarder.limits().idleTimeout().toNanos();
+			this.expiryTimer = this.forwarder.loop().schedule(this::expire, delay, TimeUnit.NANOSECONDS);
+		}
+		else if (this.isStreaming) {
 			abort("timeout");
 		}
 		else if (this.mayHaveRun || (this.attempt != null && this.attempt.isInFlight())) {
@@ -329,8 +342,7 @@
 		if (isAttemptKept) {
 			// The attempt is not cancelled: the request may not be executed again, so
 			// its outcome could not be obtained otherwise.
-			this.attempt.isDetached = true;
-			this.attempt.cancelAtDeadline(this.attempt.id);
+			this.attempt.detach();
 		}
 		finish(0, "caller_left");
 	}
@@ -338,7 +350,7 @@
 	@Override
 	public void onCallerWritable() {
 		if (this.attempt != null && this.attempt.exchange != null) {
-			this.attempt.exchange.setReading(true);
+			this.attempt.resume();
 		}
 	}
 
@@ -349,7 +361,7 @@
 			reportLateRequest();
 		}
 		this.incoming.body().release();
-		if (this.attempt != null && !this.attempt.isDetached) {
+		if (this.attempt != null && !this.attempt.isDetached()) {
 			this.attempt.cancel();
 		}
 		this.forwarder.traffic().cancel(this.key);
--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -392,6 +392,11 @@
 		}
 	}
 
+	@Override
+	public void addUnwrittenBytes(int bytes) {
+		this.responseBuffers.addUnwritten(bytes);
+	}
+
 	ResponseBuffers responseBuffers() {
 		return this.responseBuffers;
 	}
--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -38,6 +39,9 @@
 	/** Messages of pipelined requests that are queued before reading is paused. */
 	private static final int MAX_QUEUED_MESSAGES = 256;
 
+	/** Size of the parts in which a long response is handed to the connection. */
+	private static final int MAX_PART_BYTES = 65_536;
+
 	/** Time added to the idle timeout for a request whose body is incomplete. */
 	private static final long BODY_TIMEOUT_SLACK_NANOS = IngressServer.millisToNanos(500);
 
@@ -69,6 +73,13 @@
 
 	private boolean isStreamStarted;
 
+	/** Body of a long response that is not yet handed over as a whole, else null. */
+	private ByteBuf unwrittenBody;
+
+	private boolean isWritingBody;
+
+	private ChannelFuture lastWrite;
+
 	IngressConnection(IngressServer server, RequestHandler handler) {
 		this.server = server;
 		this.handler = handler;
@@ -201,11 +212,41 @@
 			abort();
 			return;
 		}
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
-				headers.copy(), EmptyHttpHeaders.INSTANCE);
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-		setConnectionHeader(response.headers());
-		finishResponse(this.context.writeAndFlush(response));
+		HttpHeaders copy = headers.copy().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+		setConnectionHeader(copy);
+		if (content.readableBytes() <= MAX_PART_BYTES) {
+			finishResponse(this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
+					copy, EmptyHttpHeaders.INSTANCE)));
+			return;
+		}
+		this.running = null;
+		this.unwrittenBody = content;
+		this.handler.addUnwrittenBytes(content.writerIndex());
+		this.context.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, copy));
+		writeBody();
+	}
+
+	// Hands as much of a long body to the connection as it takes. The rest stays on the
+	// heap,
+	// as the connection copies what it is given to direct memory.
+	private void writeBody() {
+		this.isWritingBody = true;
+		while (this.unwrittenBody.isReadable() && this.context.channel().isWritable()) {
+			int count = Math.min(MAX_PART_BYTES, this.unwrittenBody.readableBytes());
+			this.idleSinceNanos = System.nanoTime();
+			this.context.writeAndFlush(new DefaultHttpContent(this.unwrittenBody.readRetainedSlice(count)));
+		}
+		this.isWritingBody = false;
+		if (!this.unwrittenBody.isReadable()) {
+			releaseUnwrittenBody();
+			finishResponse(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+		}
+	}
+
+	private void releaseUnwrittenBody() {
+		this.handler.addUnwrittenBytes(-this.unwrittenBody.writerIndex());
+		this.unwrittenBody.release();
+		this.unwrittenBody = null;
 	}
 
 	@Override
@@ -240,7 +281,9 @@
 		}
 	}
 
-	private void finishResponse(io.netty.channel.ChannelFuture writeFuture) {
+	private void finishResponse(ChannelFuture writeFuture) {
+		this.lastWrite = writeFuture;
+		writeFuture.addListener((done) -> handleResponseWritten(done.cause()));
 		this.running = null;
 		this.isHandlingRequest = false;
 		this.isStreamStarted = false;
@@ -257,6 +300,18 @@
 		this.context.executor().execute(this::handleQueuedMessages);
 	}
 
+	private void handleResponseWritten(Throwable failure) {
+		this.idleSinceNanos = System.nanoTime();
+		if (failure != null) {
+			LOG.warn("response_not_delivered", "caller", this.context.channel().remoteAddress(), "cause", failure);
+		}
+	}
+
+	// Returns whether a response was handed over whose last byte is not yet written.
+	boolean isResponseUnwritten() {
+		return this.unwrittenBody != null || (this.lastWrite != null && !this.lastWrite.isDone());
+	}
+
 	private void handleQueuedMessages() {
 		while (!this.isHandlingRequest && !this.waiting.isEmpty()) {
 			handleMessage(this.waiting.poll());
@@ -265,17 +320,28 @@
 
 	@Override
 	public void abort() {
-		this.context.close();
+		if (this.isStreamStarted && !this.isChunkedSupported) {
+			// The caller takes a regular end of the connection for that of the response.
+			BackendClient.reset(this.context.channel());
+		}
+		else {
+			this.context.close();
+		}
 	}
 
 	void closeIfIdle() {
-		if (!this.isHandlingRequest && this.currentRequest == null && this.waiting.isEmpty()) {
+		if (!this.isHandlingRequest && this.currentRequest == null && this.waiting.isEmpty()
+				&& !isResponseUnwritten()) {
 			this.context.close();
 		}
 	}
 
 	void closeIfExpired(long now) {
 		IngressLimits limits = this.handler.limits();
+		if (isResponseUnwritten()) {
+			closeIfStalled(now - this.idleSinceNanos - limits.idleTimeout().toNanos());
+			return;
+		}
 		if (this.isHandlingRequest) {
 			return;
 		}
@@ -288,9 +354,24 @@
 		}
 	}
 
+	private void closeIfStalled(long overdueNanos) {
+		if (overdueNanos > 0) {
+			LOG.warn("caller_stalled", "caller", this.context.channel().remoteAddress());
+			this.context.close();
+		}
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-		if (ctx.channel().isWritable() && this.running != null) {
+		if (!ctx.channel().isWritable()) {
+			return;
+		}
+		if (this.unwrittenBody != null) {
+			if (!this.isWritingBody) {
+				writeBody();
+			}
+		}
+		else if (this.running != null) {
 			this.running.onCallerWritable();
 		}
 	}
@@ -301,6 +382,11 @@
 		releaseQueuedMessages();
 		RequestHandler.ActiveRequest activeRequest = this.running;
 		this.running = null;
+		if (this.unwrittenBody != null) {
+			LOG.warn("response_not_delivered", "caller", ctx.channel().remoteAddress(), "left",
+					this.unwrittenBody.readableBytes());
+			releaseUnwrittenBody();
+		}
 		discardRequest();
 		this.isHandlingRequest = false;
 		if (activeRequest != null) {
--- a/forward/src/main/java/org/celeryhill/forward/IngressServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressServer.java
@@ -146,6 +146,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether a response is still being written to a caller.
+	 * @return false once the last byte of each response was written
+	 */
+	public boolean isWritingResponses() {
+		return this.connections.stream().anyMatch(IngressConnection::isResponseUnwritten);
+	}
+
 	/**
 	 * Closes connections that are idle for longer than the idle timeout, and those whose
 	 * request body is not complete within that time plus 0.5 s.
--- a/forward/src/main/java/org/celeryhill/forward/RequestHandler.java
+++ b/forward/src/main/java/org/celeryhill/forward/RequestHandler.java
@@ -20,6 +20,15 @@
 	 */
 	IngressLimits limits();
 
+	/**
+	 * Adds to the size of the responses that wait in memory for slow callers.
+	 * @param bytes the size of a response that begins to wait, or the negative size of
+	 * one that no longer does
+	 */
+	default void addUnwrittenBytes(int bytes) {
+		// Handlers with short responses need no limit.
+	}
+
 	/**
 	 * A request whose response is not complete. Receives events of the caller's
 	 * connection.
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -38,6 +38,8 @@
 
 	static final ModelId MODEL = ModelId.of("m1");
 
+	private static final int SMALL_BUFFER_BYTES = 16_384;
+
 	private static final DataCentre DATA_CENTRE = DataCentre.of("here");
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -146,6 +148,18 @@
 		return callOnLoop(this.forwarder::activeCount);
 	}
 
+	long bufferedBytes() throws Exception {
+		return callOnLoop(() -> this.forwarder.responseBuffers().totalBytes());
+	}
+
+	void addBufferedBytes(int bytes) throws Exception {
+		runOnLoop(() -> this.forwarder.addUnwrittenBytes(bytes));
+	}
+
+	boolean isWritingResponses() throws Exception {
+		return callOnLoop(this.front::isWritingResponses);
+	}
+
 	void startDraining() throws Exception {
 		runOnLoop(this.front::startDraining);
 	}
@@ -174,6 +188,14 @@
 		return new RawCaller(this.address);
 	}
 
+	// Returns a connection whose system buffer takes little of a response.
+	RawCaller connectWithSmallBuffer() throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+		socket.connect(this.address);
+		return new RawCaller(socket);
+	}
+
 	// Sends a request on a new connection and returns all bytes until it is closed.
 	String sendAndReadAll(String request) throws IOException {
 		try (RawCaller caller = connect()) {
@@ -216,10 +238,18 @@
 		private final Socket socket;
 
 		private RawCaller(InetSocketAddress address) throws IOException {
-			this.socket = new Socket(address.getAddress(), address.getPort());
+			this(new Socket(address.getAddress(), address.getPort()));
+		}
+
+		private RawCaller(Socket socket) throws IOException {
+			this.socket = socket;
 			this.socket.setSoTimeout(8000);
 		}
 
+		InputStream input() throws IOException {
+			return this.socket.getInputStream();
+		}
+
 		void send(String text) throws IOException {
 			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
 		}
