Wait for responses that are being written before a planned stop ends

Cause: a request counts as ended once its answer is handed to the connection, and the daemon stopped when no request was active.

Evidence: SlowCallerTests.responseIsBeingWrittenUntilCallerHasTakenIt fails on the code before: closing idle connections cut the response at 3.6 of 8 MB.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -265,7 +265,8 @@
 			this.forwarder.stopAccepting();
 			this.front.closeIdleConnections();
 		}
-		if (!isGraceOver && (!isBalancerDelayOver || this.forwarder.activeCount() > 0)) {
+		boolean isActive = this.forwarder.activeCount() > 0 || this.front.isWritingResponses();
+		if (!isGraceOver && (!isBalancerDelayOver || isActive)) {
 			return;
 		}
 		LOG.info("edge_stopped", "host", this.settings.hostId, "abandoned", this.forwarder.activeCount());
