Give each connection to a server a bounded share of the event loop

Cause: each event was written and flushed by itself, and a connection could read 16 times in a turn of the event loop.

Evidence: FloodedStreamTests.soundRequestsAreServedBesideStreamsWithoutPause fails on the code before (800 ms a request beside 40 streams, the target of the route is 500 ms), smallEventsAreJoinedIntoOneWrite too.

Change: events that arrive together are written together, and a connection to a server reads 16 KB in a turn. An exchange that has ended no longer pauses its connection, which may be in use again.

Not run: the driver of that issue on the real program, which is not in the repository.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -34,6 +35,15 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 600;
 
+	private static final int MIN_READ_BYTES = 256;
+
+	private static final int INITIAL_READ_BYTES = 2048;
+
+	/**
+	 * What one connection reads in a turn of the event loop, so that others get theirs.
+	 */
+	private static final int MAX_READ_BYTES = 16_384;
+
 	private static final int MAX_HEAD_BYTES = 65_536;
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
@@ -54,6 +64,9 @@
 			.option(ChannelOption.TCP_NODELAY, true)
 			// Tells the regular end of what a server sends from a broken connection.
 			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+						.maxMessagesPerRead(1))
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
 	}
 
@@ -268,11 +281,12 @@
 		}
 
 		/**
-		 * Pauses or resumes reading of the response.
+		 * Pauses or resumes reading of the response. Has no effect on an exchange that
+		 * has ended, as its connection may have been reused.
 		 * @param isReading whether to read
 		 */
 		public void setReading(boolean isReading) {
-			if (this.channel != null) {
+			if (this.channel != null && !this.isEnded) {
 				this.channel.config().setAutoRead(isReading);
 			}
 		}
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -179,6 +179,13 @@
 		failExchange("connection failed: " + cause);
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		if (this.exchange != null && !this.exchange.isEnded()) {
+			this.exchange.listener().onReadComplete();
+		}
+	}
+
 	// The decoder has handled the end of the input before this.
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -45,6 +46,9 @@
 	/** Difference between the priorities of adjacent priority classes at an engine. */
 	private static final int ENGINE_PRIORITY_STEP = 3;
 
+	/** Size from which on events are written without waiting for more. */
+	private static final int MAX_JOINED_BYTES = 65_536;
+
 	private final ForwardCall call;
 
 	final AttemptId id;
@@ -61,6 +65,9 @@
 
 	private EventSplitter eventSplitter;
 
+	/** Complete events that are not yet written to the caller. */
+	private final ByteArrayOutputStream unwrittenEvents = new ByteArrayOutputStream();
+
 	private int tokensPerEvent;
 
 	private long firstEventNanos;
@@ -258,12 +265,12 @@
 			abortExchange(ex.getMessage());
 			return;
 		}
-		for (EventSplitter.Event event : completeEvents) {
-			relayEvent(event);
+		if (!completeEvents.isEmpty()) {
+			relayCompleteEvents(completeEvents);
 		}
 	}
 
-	private void relayEvent(EventSplitter.Event event) {
+	private void relayCompleteEvents(List<EventSplitter.Event> events) {
 		if (!this.call.isStreaming) {
 			this.call.isStreaming = true;
 			this.call.channel.startStream(this.response.status(),
@@ -277,12 +284,33 @@
 		else if (!this.isServedRecorded && isRunConfirmed()) {
 			recordServed();
 		}
-		this.call.eventCount++;
-		if (event.id().isPresent()) {
-			this.call.lastEventId = event.id();
+		for (EventSplitter.Event event : events) {
+			this.call.eventCount++;
+			if (event.id().isPresent()) {
+				this.call.lastEventId = event.id();
+			}
+			this.unwrittenEvents.writeBytes(event.bytes());
+		}
+		if (this.unwrittenEvents.size() >= MAX_JOINED_BYTES) {
+			writeEvents();
+		}
+	}
+
+	@Override
+	public void onReadComplete() {
+		writeEvents();
+	}
+
+	// Passes on the events that arrived together with a single write, so that many small
+	// ones cost little more than a long one.
+	private void writeEvents() {
+		if (this.unwrittenEvents.size() == 0) {
+			return;
 		}
+		byte[] bytes = this.unwrittenEvents.toByteArray();
+		this.unwrittenEvents.reset();
 		this.call.forwarder.traffic().progress(this.id, this.call.eventCount * this.tokensPerEvent, System.nanoTime());
-		if (!this.call.channel.write(event.bytes())) {
+		if (!this.call.channel.write(bytes)) {
 			this.exchange.setReading(false);
 		}
 	}
@@ -308,6 +336,7 @@
 
 	@Override
 	public void onEnd() {
+		writeEvents();
 		if (this.isDetached) {
 			finish(AttemptOutcome.COMPLETED);
 			return;
@@ -403,6 +432,7 @@
 
 	@Override
 	public void onFailure(Failure failure, String detail) {
+		writeEvents();
 		if (this.isDetached) {
 			finish(AttemptOutcome.BROKEN);
 			return;
@@ -431,6 +461,7 @@
 	}
 
 	private void abortExchange(String detail) {
+		writeEvents();
 		this.exchange.cancel();
 		handleFailureAfterSend(detail);
 	}
