Refuse a request target with characters outside of ASCII

Seen by the review: raw bytes above 127 of a target reached the server encoded anew as UTF-8, so with other bytes than the caller sent.

A target has ASCII characters only by RFC 3986, section 2, and RFC 9112, section 3.2; a server of ours should answer 400. Such a request is now refused as malformed before any of it is passed on.

ForwarderTests.targetWithRawBytesIsRefused fails on the code before (200). Targets with percent signs and with characters like braces, which are ASCII, are passed on as before.

--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -145,7 +145,12 @@
 		this.headersReceivedNanos = System.nanoTime();
 		this.body = Unpooled.EMPTY_BUFFER;
 		long length = HttpUtil.getContentLength(request, 0L);
-		if (length > this.handler.limits().maxBodyBytes()) {
+		if (!isAscii(request.uri())) {
+			LOG.warn("request_malformed", "status", HttpResponseStatus.BAD_REQUEST.code(), "cause",
+					"target has characters outside of ASCII");
+			reject(HttpResponseStatus.BAD_REQUEST);
+		}
+		else if (length > this.handler.limits().maxBodyBytes()) {
 			reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
@@ -154,6 +159,11 @@
 		}
 	}
 
+	// Other characters would be encoded anew on the way to the server.
+	private static boolean isAscii(String target) {
+		return target.chars().allMatch((character) -> character < 0x80);
+	}
+
 	private void appendBody(HttpContent content) {
 		int size = content.content().readableBytes();
 		if (size > 0) {
--- a/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
@@ -262,6 +262,23 @@
 		}
 	}
 
+	// Guards against a target that reaches the server with other bytes than were sent.
+	// Targets
+	// have ASCII characters only; others are encoded by percent signs.
+	@Test
+	void targetWithRawBytesIsRefused() throws Exception {
+		this.fixture.configure();
+		try (ScriptedServer engine = new ScriptedServer(
+				(request, connection) -> connection.respond(request, 200, SIGNED, request.line()))) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, engine);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.getRequest("/many/caf\u00e9?q=\u00fc", "r1")))
+				.startsWith("HTTP/1.1 400");
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.getRequest("/many/caf%C3%A9?q={|}\"~", "r2")))
+				.endsWith("GET /many/caf%C3%A9?q={|}\"~ HTTP/1.1");
+			assertThat(engine.receivedRequests()).hasSize(1);
+		}
+	}
+
 	// Guards against request smuggling, and against headers and bodies of unlimited size.
 	@Test
 	void rejectsMalformedRequests() throws Exception {
