--- a/forward/src/test/java/org/celeryhill/forward/ContinuedStreamTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ContinuedStreamTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Tests of {@link Forwarder} with streams that break after their first events and that
@@ -94,6 +95,21 @@
 		assertBrokenOff(sendTo(breakThen(error(status, "signed: s\r\n")), true));
 	}
 
+	// Guards against a broken stream that looks complete to a caller of HTTP/1.0, which
+	// takes
+	// the regular end of the connection for that of the stream.
+	@Test
+	void brokenStreamOfCallerWithoutChunksIsReset() throws Exception {
+		String request = ForwardFixture.generateRequest("/stream/x", "r1").replace("HTTP/1.1", "HTTP/1.0");
+		try (ScriptedServer engine = new ScriptedServer(breakThen(error(500, "")));
+				ForwardFixture.RawCaller caller = this.fixture.connect()) {
+			this.fixture.addServer("e1", ForwardFixture.ENGINE_SERVICE, engine);
+			caller.send(request);
+			assertThat(caller.readUntil("data: t2\n\n")).startsWith("HTTP/1.1 200").doesNotContain("chunked");
+			assertThatThrownBy(caller::readAll).hasMessage("Connection reset");
+		}
+	}
+
 	// Guards against the same for errors without the signature of an engine.
 	@ParameterizedTest
 	@ValueSource(ints = { 302, 500, 502 })
