Count what is left of a response that is passed on

A response that is passed on before it is complete left the count of memory with what had arrived, up to 16 MB, although a slow caller takes it only in time. Enough of them could fill the heap, within the limit as it was counted.

Change: PassedResponse counts what it keeps until the caller's connection has taken it or the call has ended. Comments that the formatter had split in the middle are joined.

--- a/edge/src/main/java/org/celeryhill/edge/Leadership.java
+++ b/edge/src/main/java/org/celeryhill/edge/Leadership.java
@@ -117,8 +117,7 @@
 	}
 
 	// Renews or acquires the lease. An unexpected failure is an unknown result, as the
-	// next
-	// call is made only after the result of this one.
+	// next call is made only after the result of this one.
 	private Object callLeaseStore(Optional<Lease> held) {
 		try {
 			return held.isPresent() ? this.leaseStore.renew(held.get()) : this.leaseStore.acquire(LEASE_NAME);
--- a/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/LeadershipTests.java
@@ -144,8 +144,7 @@
 	}
 
 	// Guards against a host that never asks for the lease again after one call that
-	// failed
-	// in an unexpected way.
+	// failed in an unexpected way.
 	@Test
 	void callThatFailsUnexpectedlyDoesNotEndLeadership() throws Exception {
 		AtomicInteger count = new AtomicInteger();
--- a/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/StoreFollowerTests.java
@@ -98,8 +98,8 @@
 	}
 
 	// Guards against requests to an engine that has left, when the process of the holder
-	// is
-	// replaced: the new one has read the table after the removal and does not know of it.
+	// is replaced: the new one has read the table after the removal and does not know of
+	// it.
 	@Test
 	void learnsOfRemovalThatPrecedesFirstReadOfHolder() throws Exception {
 		this.fixture.runUntil("both know the engine", () -> {
@@ -184,8 +184,7 @@
 	}
 
 	// Guards against hosts that each make several calls to the store at their start,
-	// though
-	// one of them passes the rows on soon afterwards.
+	// though one of them passes the rows on soon afterwards.
 	@Test
 	void startsWithOneCallForEachTable() throws Exception {
 		this.fixture.runUntil("other host knows the engine", () -> this.other.follower.tick(false),
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -137,8 +137,7 @@
 
 	// The decoder ends a response that is delimited by the end of the connection whenever
 	// the channel ends. The channel is still active if the server has ended the
-	// connection
-	// regularly, and no longer if it failed, as when a write met a reset.
+	// connection regularly, and no longer if it failed, as when a write met a reset.
 	private void endExchange(ChannelHandlerContext ctx) {
 		if (this.isDelimitedByClose && !ctx.channel().isActive()) {
 			failExchange("connection failed within a response without length");
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -218,7 +218,7 @@
 		this.call.forwarder.responseBuffers().remove(this);
 		this.call.isStreaming = true;
 		this.call.channel.startStream(this.response.status(), HopByHopHeaders.copyEndToEnd(this.response.headers()));
-		this.passedResponse = new PassedResponse(this.call.channel);
+		this.passedResponse = new PassedResponse(this.call.channel, this.call.forwarder.responseBuffers());
 		ByteBuf arrived = this.body;
 		this.body = null;
 		passOn(arrived);
@@ -369,7 +369,7 @@
 	}
 
 	private void endPassedResponse() {
-		if (!this.passedResponse.isWritten() || this.isServedRecorded) {
+		if (!this.passedResponse.isWritten() || this.call.isEnded()) {
 			return;
 		}
 		recordServed();
@@ -484,6 +484,9 @@
 	}
 
 	void cancel() {
+		if (this.passedResponse != null) {
+			this.passedResponse.release();
+		}
 		if (this.exchange != null && !this.isFinished) {
 			this.exchange.cancel();
 		}
@@ -502,6 +505,9 @@
 	// Lets the request run to its end or to the deadline, without a caller.
 	void detach() {
 		this.isDetached = true;
+		if (this.passedResponse != null) {
+			this.passedResponse.release();
+		}
 		this.exchange.setReading(true);
 		cancelAtDeadline();
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -114,6 +114,10 @@
 		return this.key;
 	}
 
+	boolean isEnded() {
+		return this.isEnded;
+	}
+
 	void submit() {
 		Optional<Duration> quarantine = this.forwarder.promptGuard().check(this.traits, System.nanoTime());
 		if (quarantine.isPresent()) {
--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -237,8 +237,7 @@
 	}
 
 	// Hands as much of a long body to the connection as it takes. The rest stays on the
-	// heap,
-	// as the connection copies what it is given to direct memory.
+	// heap, as the connection copies what it is given to direct memory.
 	private void writeBody() {
 		this.isWritingBody = true;
 		while (this.unwrittenBody.isReadable() && this.context.channel().isWritable()) {
--- a/forward/src/main/java/org/celeryhill/forward/PassedResponse.java
+++ b/forward/src/main/java/org/celeryhill/forward/PassedResponse.java
@@ -13,26 +13,36 @@
 
 	private final ResponseChannel channel;
 
+	private final ResponseBuffers buffers;
+
 	private ByteBuf unwritten = Unpooled.EMPTY_BUFFER;
 
+	private int countedBytes;
+
 	private long totalBytes;
 
 	private long writtenBytes;
 
 	private long lastWrittenBytes;
 
-	PassedResponse(ResponseChannel channel) {
+	PassedResponse(ResponseChannel channel, ResponseBuffers buffers) {
 		this.channel = channel;
+		this.buffers = buffers;
 	}
 
 	// Adds bytes and returns the size of the body so far.
 	long add(ByteBuf bytes) {
 		this.totalBytes += bytes.readableBytes();
-		this.unwritten = this.unwritten.isReadable() ? Unpooled.copiedBuffer(this.unwritten, bytes)
-				: Unpooled.copiedBuffer(bytes);
+		keep(this.unwritten.isReadable() ? Unpooled.copiedBuffer(this.unwritten, bytes) : Unpooled.copiedBuffer(bytes));
 		return this.totalBytes;
 	}
 
+	private void keep(ByteBuf bytes) {
+		this.unwritten = bytes;
+		this.buffers.addUnwritten(bytes.capacity() - this.countedBytes);
+		this.countedBytes = bytes.capacity();
+	}
+
 	// Hands over as much as the connection takes. Returns whether it takes more.
 	boolean write() {
 		boolean isWritable = true;
@@ -42,9 +52,17 @@
 			this.writtenBytes += part.length;
 			isWritable = this.channel.write(part);
 		}
+		if (isWritten()) {
+			release();
+		}
 		return isWritable && isWritten();
 	}
 
+	// Drops what the connection has not taken.
+	void release() {
+		keep(Unpooled.EMPTY_BUFFER);
+	}
+
 	boolean isWritten() {
 		return !this.unwritten.isReadable();
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ResponseBuffers.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseBuffers.java
@@ -22,8 +22,7 @@
 	private long totalBytes;
 
 	// Adds bytes of an attempt's response. Returns the attempt with the largest
-	// incomplete
-	// response if there are too many bytes.
+	// incomplete response if there are too many bytes.
 	Optional<ForwardAttempt> add(ForwardAttempt attempt, int bytes) {
 		this.totalBytes += bytes;
 		long size = this.sizes.merge(attempt, (long) bytes, Long::sum);
--- a/forward/src/test/java/org/celeryhill/forward/ContinuedStreamTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ContinuedStreamTests.java
@@ -96,8 +96,7 @@
 	}
 
 	// Guards against a broken stream that looks complete to a caller of HTTP/1.0, which
-	// takes
-	// the regular end of the connection for that of the stream.
+	// takes the regular end of the connection for that of the stream.
 	@Test
 	void brokenStreamOfCallerWithoutChunksIsReset() throws Exception {
 		String request = ForwardFixture.generateRequest("/stream/x", "r1").replace("HTTP/1.1", "HTTP/1.0");
--- a/forward/src/test/java/org/celeryhill/forward/EndlessResponseTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/EndlessResponseTests.java
@@ -82,8 +82,7 @@
 	}
 
 	// Guards against bytes without end that are no response, or that stand where a
-	// response
-	// has a single line.
+	// response has a single line.
 	@ParameterizedTest
 	@ValueSource(strings = { "", "HTTP/1.1 ", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\n",
 			"HTTP/1.1 200 OK\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n",
--- a/forward/src/test/java/org/celeryhill/forward/FloodedStreamTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/FloodedStreamTests.java
@@ -94,8 +94,7 @@
 	}
 
 	// Guards against a write and a flush for each small event: events that arrive
-	// together
-	// are passed on in one chunk.
+	// together are passed on in one chunk.
 	@Test
 	void smallEventsAreJoinedIntoOneWrite() throws Exception {
 		try (ScriptedServer engine = new ScriptedServer((request, connection) -> {
--- a/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwarderTests.java
@@ -263,8 +263,7 @@
 	}
 
 	// Guards against a target that reaches the server with other bytes than were sent.
-	// Targets
-	// have ASCII characters only; others are encoded by percent signs.
+	// Targets have ASCII characters only; others are encoded by percent signs.
 	@Test
 	void targetWithRawBytesIsRefused() throws Exception {
 		this.fixture.configure();
--- a/forward/src/test/java/org/celeryhill/forward/SlowCallerTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/SlowCallerTests.java
@@ -37,6 +37,9 @@
 	/** Limit of the responses in memory, and the longest response. */
 	private static final long MAX_BUFFERED_BYTES = (32 + 16) << 20;
 
+	/** Limit of the responses in memory. */
+	private static final int MAX_TOTAL_BYTES = 32 << 20;
+
 	private static final int STEP_BYTES = 65_536;
 
 	private static final long STEP_MS = 5;
@@ -74,8 +77,7 @@
 	}
 
 	// Sends a request and reads the response slowly until the connection ends. Returns
-	// the
-	// number of bytes after the head of a success, or a negative number for anything
+	// the number of bytes after the head of a success, or a negative number for anything
 	// else.
 	private long callSlowly(String id) throws IOException {
 		try (ForwardFixture.RawCaller caller = this.fixture.connectWithSmallBuffer()) {
@@ -175,10 +177,41 @@
 
 	// Lets the forwarder keep as many bytes as it may.
 	private ForwardFixture.RawCaller occupyMemory() throws Exception {
-		this.fixture.addBufferedBytes(32 << 20);
+		this.fixture.addBufferedBytes(MAX_TOTAL_BYTES);
 		return this.fixture.connect();
 	}
 
+	// Guards against a response that needs memory without being counted, after it was
+	// passed on in part to a caller that does not read.
+	@Test
+	void passedOnResponseIsCountedUntilCallerHasTakenIt() throws Exception {
+		int sentBytes = 15_000_000;
+		addServers(1, (request, connection) -> {
+			connection.send("HTTP/1.1 200 OK\r\nid: " + request.header("id", "")
+					+ "\r\nsigned: s\r\ncontent-length: 16000000\r\n\r\n" + "x".repeat(sentBytes));
+			connection.awaitClientClose();
+		});
+		try (ForwardFixture.RawCaller first = this.fixture.connectWithSmallBuffer();
+				ForwardFixture.RawCaller second = this.fixture.connect()) {
+			first.send(ForwardFixture.getRequest("/many/x", "r1"));
+			awaitBufferedBytes(sentBytes);
+			this.fixture.addBufferedBytes(MAX_TOTAL_BYTES - sentBytes);
+			second.send(ForwardFixture.getRequest("/many/x", "r2"));
+			assertThat(first.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 200");
+			// The system's buffers take less than half of it.
+			assertThat(this.fixture.bufferedBytes()).isGreaterThan(MAX_TOTAL_BYTES - sentBytes / 2);
+		}
+		awaitBufferedBytes(MAX_TOTAL_BYTES - sentBytes);
+	}
+
+	private void awaitBufferedBytes(long bytes) throws Exception {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (this.fixture.bufferedBytes() != bytes && System.nanoTime() < end) {
+			Thread.sleep(10);
+		}
+		assertThat(this.fixture.bufferedBytes()).isEqualTo(bytes);
+	}
+
 	// Guards against a planned stop that ends the process before a response has left it.
 	@Test
 	void responseIsBeingWrittenUntilCallerHasTakenIt() throws Exception {
