Log the connection of each send and what servers send without a request

Cause: the logs could not tell the hypotheses of the incident apart. They named no connection, not the server's status of a failed send, and said nothing of bytes between two requests or of a head that holds two responses. Change: request_sent and attempt_failed have the connection and the number of the exchange on it, attempt_failed the server's status; new lines response_unexpected, bytes_unexpected and response_head_mixed.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -57,6 +57,8 @@
 
 	private final EventLoop loop;
 
+	private long connectionCount;
+
 	private BackendClient(EventLoop loop) {
 		this.loop = loop;
 		this.bootstrap = new Bootstrap().group(loop)
@@ -92,6 +94,7 @@
 		Exchange exchange = new Exchange(request, listener);
 		BackendConnection reused = pollIdleConnection(key, maxIdle.toNanos());
 		if (reused != null) {
+			exchange.setConnectionUse(reused.nextUse());
 			reused.startExchange(exchange);
 			return exchange;
 		}
@@ -115,13 +118,15 @@
 	}
 
 	private void connect(PoolKey key, Exchange exchange) {
-		BackendConnection connection = new BackendConnection(this, key);
+		BackendConnection connection = new BackendConnection(this, key, this.connectionCount++);
+		exchange.setConnectionUse(connection.nextUse());
 		ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
 				HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
 					.setMaxChunkSize(MAX_CHUNK_BYTES);
-				channel.pipeline().addLast(new HttpClientCodec(config, false, false), connection);
+				channel.pipeline()
+					.addLast(new IdleReadObserver(connection), new HttpClientCodec(config, false, false), connection);
 			}
 		};
 		ChannelFuture future = this.bootstrap.clone().handler(initializer).connect(key.address());
@@ -240,6 +245,21 @@
 
 	}
 
+	/**
+	 * The use of a connection by one exchange.
+	 *
+	 * @param connection number of the connection, unique within the process
+	 * @param use number of the exchange on the connection, from 1
+	 */
+	record ConnectionUse(long connection, int use) {
+
+		@Override
+		public String toString() {
+			return this.connection + "." + this.use;
+		}
+
+	}
+
 	/**
 	 * A request and its response. Must be used on the event loop.
 	 */
@@ -257,6 +277,8 @@
 
 		private boolean isWriteStarted;
 
+		private ConnectionUse connectionUse;
+
 		private Exchange(FullHttpRequest request, ExchangeListener listener) {
 			this.request = request;
 			this.listener = listener;
@@ -303,6 +325,15 @@
 			return this.isEnded;
 		}
 
+		// Returns the connection that the request was or will be sent on.
+		ConnectionUse connectionUse() {
+			return this.connectionUse;
+		}
+
+		void setConnectionUse(ConnectionUse use) {
+			this.connectionUse = use;
+		}
+
 		void setConnectFuture(ChannelFuture future) {
 			this.connectFuture = future;
 		}
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.celeryhill.base.EventLog;
 
 /**
  * A connection to a backend server that carries one exchange at a time. It is closed when
@@ -20,6 +21,8 @@
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
+	private static final EventLog LOG = EventLog.of(BackendConnection.class);
+
 	/** Fraction of the announced keep-alive time for which a connection is reusable. */
 	private static final double KEEP_ALIVE_FRACTION = 0.5;
 
@@ -32,6 +35,10 @@
 
 	private final BackendClient.PoolKey key;
 
+	private final long number;
+
+	private int useCount;
+
 	private ChannelHandlerContext context;
 
 	private BackendClient.Exchange exchange;
@@ -50,15 +57,30 @@
 
 	private long idleSinceNanos;
 
-	BackendConnection(BackendClient client, BackendClient.PoolKey key) {
+	BackendConnection(BackendClient client, BackendClient.PoolKey key, long number) {
 		this.client = client;
 		this.key = key;
+		this.number = number;
 	}
 
 	BackendClient.PoolKey key() {
 		return this.key;
 	}
 
+	// Counts the next exchange of this connection.
+	BackendClient.ConnectionUse nextUse() {
+		this.useCount++;
+		return new BackendClient.ConnectionUse(this.number, this.useCount);
+	}
+
+	BackendClient.ConnectionUse lastUse() {
+		return new BackendClient.ConnectionUse(this.number, this.useCount);
+	}
+
+	boolean isWaitingForResponse() {
+		return this.exchange != null;
+	}
+
 	boolean isReusable(long now, long maxIdleNanos) {
 		long idleNanos = now - this.idleSinceNanos;
 		return this.context.channel().isActive() && idleNanos < this.keepAliveNanos && idleNanos < maxIdleNanos;
@@ -84,6 +106,7 @@
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
 			if (this.exchange == null || this.exchange.isEnded()) {
+				logUnexpectedResponse(message);
 				ctx.close();
 				return;
 			}
@@ -94,6 +117,13 @@
 		}
 	}
 
+	private void logUnexpectedResponse(Object message) {
+		if (message instanceof HttpResponse head) {
+			LOG.warn("response_unexpected", "server", this.key.owner(), "connection", lastUse(), "status",
+					head.status().code(), "valid", head.decoderResult().isSuccess());
+		}
+	}
+
 	private void handleMessage(ChannelHandlerContext ctx, HttpObject message) {
 		if (message.decoderResult().isFailure()) {
 			failExchange("response is not valid HTTP: " + message.decoderResult().cause());
@@ -108,6 +138,9 @@
 				}
 				return;
 			}
+			ResponseHeads.findEmbeddedStatusLine(head)
+				.ifPresent((text) -> LOG.warn("response_head_mixed", "server", this.key.owner(), "connection",
+						lastUse(), "status", head.status().code(), "contains", text));
 			this.isKeepAlive = HttpUtil.isKeepAlive(head);
 			this.isDelimitedByClose = !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
 			parseKeepAliveTimeout(head);
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -128,10 +128,10 @@
 		BackendClient.PoolKey poolKey = poolKey();
 		Duration maxIdle = this.call.route.isRetryable() ? MAX_IDLE_RETRYABLE : MAX_IDLE_NON_RETRYABLE;
 		this.call.forwarder.metrics().recordSend(isFirst);
-		LOG.info("request_sent", "request", this.call.key, "attempt", this.id, "server", serverId(), "route",
-				this.call.route.name(), "send", this.call.sendCount, "waited_ms",
-				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.call.incoming.arrivedNanos()));
 		this.exchange = this.call.forwarder.client().send(poolKey, backendRequest, maxIdle, this);
+		LOG.info("request_sent", "request", this.call.key, "attempt", this.id, "server", serverId(), "connection",
+				this.exchange.connectionUse(), "route", this.call.route.name(), "send", this.call.sendCount,
+				"waited_ms", TimeUnit.NANOSECONDS.toMillis(this.startNanos - this.call.incoming.arrivedNanos()));
 	}
 
 	private BackendClient.PoolKey poolKey() {
@@ -475,8 +475,9 @@
 	}
 
 	private void logFailure(String detail) {
-		LOG.warn("attempt_failed", "request", this.call.key, "attempt", this.id, "server", serverId(), "events",
-				this.call.eventCount, "cause", detail);
+		LOG.warn("attempt_failed", "request", this.call.key, "attempt", this.id, "server", serverId(), "connection",
+				this.exchange.connectionUse(), "status", (this.response != null) ? this.response.status().code() : 0,
+				"events", this.call.eventCount, "cause", detail);
 	}
 
 	boolean isDetached() {
