--- a/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
+++ b/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
@@ -100,13 +100,13 @@
 	private void serveConnection(Socket socket) {
 		try (socket) {
 			InputStream in = socket.getInputStream();
-			while (true) {
+			for (int use = 1;; use++) {
 				ReceivedRequest request = readRequest(in, this.isBodyRead);
 				if (request == null) {
 					return;
 				}
 				this.receivedRequests.add(request);
-				this.script.handle(request, new Connection(socket, this.closeEvents));
+				this.script.handle(request, new Connection(socket, this.closeEvents, use));
 			}
 		}
 		catch (IOException ex) {
@@ -175,9 +175,14 @@
 	}
 
 	/**
-	 * The connection on which a request was received.
+	 * The connection on which a request was received, with the number of the request on
+	 * it, from 1.
 	 */
-	record Connection(Socket socket, LinkedBlockingQueue<String> closeEvents) {
+	record Connection(Socket socket, LinkedBlockingQueue<String> closeEvents, int use) {
+
+		boolean isReused() {
+			return this.use > 1;
+		}
 
 		void send(String text) throws IOException {
 			OutputStream out = this.socket.getOutputStream();
