Reset a connection on bytes that belong to no response

Callers saw (users' incident): a success where the server had answered with a failure. Cause: bytes that a server sends besides its responses stayed in the decoder, which joined them with what came next. A copy of an earlier response that breaks off in its reason phrase or within the value of a header made one head with the next response: the status of the copy with the id and the signature of the run that failed. The check of the id passed, as it saw the id of the request that waited. Change: a connection returns to its pool only if no byte is left behind its response (ResponseDecoder); bytes that arrive while no exchange waits reset the connection (ResponseBoundary); a head that holds a status line within its reason phrase or a header is no response (ResponseHeads), which ends the exchange as one that may have run. Evidence: RepeatedResponseTests.copyThatBreaksOffBeforeFailureDoesNotMakeItSuccess (copies of every length, before 500, 504, 404 and 503) and copyThatBreaksOffOnIdleConnectionEndsIt failed on each of 8 cases before and pass; soundServerKeepsItsConnection passes before and after.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -23,8 +23,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * HTTP client with a connection pool for each backend server. Sends each request once: it
@@ -44,10 +44,6 @@
 	 */
 	private static final int MAX_READ_BYTES = 16_384;
 
-	private static final int MAX_HEAD_BYTES = 65_536;
-
-	private static final int MAX_CHUNK_BYTES = 65_536;
-
 	/** Longest time that a connection stays idle in its pool. */
 	private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -123,10 +119,9 @@
 		ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
-				HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
-					.setMaxChunkSize(MAX_CHUNK_BYTES);
 				channel.pipeline()
-					.addLast(new IdleReadObserver(connection), new HttpClientCodec(config, false, false), connection);
+					.addLast(new ResponseBoundary(connection), connection.decoder(), new HttpRequestEncoder(),
+							connection);
 			}
 		};
 		ChannelFuture future = this.bootstrap.clone().handler(initializer).connect(key.address());
@@ -338,6 +333,10 @@
 			this.connectFuture = future;
 		}
 
+		HttpMethod method() {
+			return this.request.method();
+		}
+
 		FullHttpRequest startWrite(Channel target) {
 			this.channel = target;
 			this.isWriteStarted = true;
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelFuture;
@@ -7,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -31,6 +33,13 @@
 	/** Interim responses of one exchange after which the server is given up. */
 	private static final int MAX_INTERIM_RESPONSES = 16;
 
+	private static final int MAX_HEAD_BYTES = 65_536;
+
+	private static final int MAX_CHUNK_BYTES = 65_536;
+
+	private final ResponseDecoder decoder = new ResponseDecoder(
+			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES));
+
 	private final BackendClient client;
 
 	private final BackendClient.PoolKey key;
@@ -47,6 +56,9 @@
 
 	private boolean isKeepAlive;
 
+	/** Whether the exchange is complete and the connection can carry another one. */
+	private boolean isReturnDue;
+
 	private boolean isInformational;
 
 	private int interimCount;
@@ -63,6 +75,10 @@
 		this.number = number;
 	}
 
+	ResponseDecoder decoder() {
+		return this.decoder;
+	}
+
 	BackendClient.PoolKey key() {
 		return this.key;
 	}
@@ -90,6 +106,7 @@
 		this.exchange = next;
 		this.isDelimitedByClose = false;
 		this.interimCount = 0;
+		this.decoder.expectResponseTo(next.method());
 		this.writeFuture = this.context.writeAndFlush(next.startWrite(this.context.channel()));
 	}
 
@@ -107,7 +124,8 @@
 		try {
 			if (this.exchange == null || this.exchange.isEnded()) {
 				logUnexpectedResponse(message);
-				ctx.close();
+				this.isReturnDue = false;
+				BackendClient.reset(ctx.channel());
 				return;
 			}
 			handleMessage(ctx, (HttpObject) message);
@@ -130,6 +148,11 @@
 			return;
 		}
 		if (message instanceof HttpResponse head) {
+			Optional<String> embedded = ResponseHeads.findEmbeddedStatusLine(head);
+			if (embedded.isPresent()) {
+				failMixedHead(head, embedded.get());
+				return;
+			}
 			this.isInformational = head.status().code() / 100 == 1;
 			if (this.isInformational) {
 				this.interimCount++;
@@ -138,9 +161,6 @@
 				}
 				return;
 			}
-			ResponseHeads.findEmbeddedStatusLine(head)
-				.ifPresent((text) -> LOG.warn("response_head_mixed", "server", this.key.owner(), "connection",
-						lastUse(), "status", head.status().code(), "contains", text));
 			this.isKeepAlive = HttpUtil.isKeepAlive(head);
 			this.isDelimitedByClose = !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
 			parseKeepAliveTimeout(head);
@@ -156,6 +176,12 @@
 		}
 	}
 
+	private void failMixedHead(HttpResponse head, String embedded) {
+		LOG.warn("response_head_mixed", "server", this.key.owner(), "connection", lastUse(), "status",
+				head.status().code(), "contains", embedded);
+		failExchange("head holds the status line of another response");
+	}
+
 	private void parseKeepAliveTimeout(HttpResponse head) {
 		String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
 		int timeoutIndex = (value != null) ? value.indexOf("timeout=") : -1;
@@ -185,13 +211,9 @@
 		this.exchange = null;
 		this.idleSinceNanos = System.nanoTime();
 		// Another request must not be sent before the body of this one is written.
-		boolean canReuse = this.isKeepAlive && !this.isDelimitedByClose && this.writeFuture.isSuccess()
+		this.isReturnDue = this.isKeepAlive && !this.isDelimitedByClose && this.writeFuture.isSuccess()
 				&& ctx.channel().isActive();
-		if (canReuse) {
-			ctx.channel().config().setAutoRead(true);
-			this.client.returnToPool(this);
-		}
-		else {
+		if (!this.isReturnDue) {
 			ctx.close();
 		}
 		completedExchange.complete();
@@ -216,6 +238,21 @@
 		if (this.exchange != null && !this.exchange.isEnded()) {
 			this.exchange.listener().onReadComplete();
 		}
+		if (this.isReturnDue) {
+			this.isReturnDue = false;
+			returnToPool(ctx);
+		}
+	}
+
+	// Bytes behind the response are the part of a message that belongs to no exchange.
+	private void returnToPool(ChannelHandlerContext ctx) {
+		if (this.decoder.hasBytesLeft()) {
+			LOG.warn("bytes_unexpected", "server", this.key.owner(), "connection", lastUse());
+			BackendClient.reset(ctx.channel());
+			return;
+		}
+		ctx.channel().config().setAutoRead(true);
+		this.client.returnToPool(this);
 	}
 
 	// The decoder has handled the end of the input before this.
--- a/forward/src/main/java/org/celeryhill/forward/IdleReadObserver.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseBoundary.java
@@ -5,31 +5,38 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import org.celeryhill.base.EventLog;
 
 /**
- * Logs the bytes that a backend server sends on a connection without a request. The
- * decoder keeps an incomplete message without passing anything on.
+ * Resets a connection to a backend server that receives bytes while no exchange waits for
+ * a response. The decoder would keep the part of a message and join it with the next
+ * response.
  */
-final class IdleReadObserver extends ChannelInboundHandlerAdapter {
+final class ResponseBoundary extends ChannelInboundHandlerAdapter {
 
-	private static final EventLog LOG = EventLog.of(IdleReadObserver.class);
+	private static final EventLog LOG = EventLog.of(ResponseBoundary.class);
 
 	private static final int MAX_LOGGED_BYTES = 60;
 
 	private final BackendConnection connection;
 
-	IdleReadObserver(BackendConnection connection) {
+	ResponseBoundary(BackendConnection connection) {
 		this.connection = connection;
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
-		if (message instanceof ByteBuf bytes && !this.connection.isWaitingForResponse()) {
+		if (this.connection.isWaitingForResponse()) {
+			ctx.fireChannelRead(message);
+			return;
+		}
+		if (message instanceof ByteBuf bytes) {
 			LOG.warn("bytes_unexpected", "server", this.connection.key().owner(), "connection",
 					this.connection.lastUse(), "bytes", bytes.readableBytes(), "text", firstBytes(bytes));
 		}
-		ctx.fireChannelRead(message);
+		ReferenceCountUtil.release(message);
+		BackendClient.reset(ctx.channel());
 	}
 
 	private static String firstBytes(ByteBuf bytes) {
