Never send the same request id twice on a connection

Callers saw (users' incident): a success where the server had answered with a failure. Cause: X-Attempt-Id names the request of the caller, not the send. If a request with the same id goes out twice on a connection, as when its caller repeats it, the copy of the first response passes for the second one.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -78,7 +79,7 @@
 	}
 
 	/**
-	 * Sends a request.
+	 * Sends a request without an id, whose response cannot be told from another one.
 	 * @param key the connection pool to use, not null
 	 * @param request the request, not null; ownership passes to this client
 	 * @param maxIdle the longest time that a reused connection may have been idle, not
@@ -87,8 +88,26 @@
 	 * @return the exchange, never null
 	 */
 	public Exchange send(PoolKey key, FullHttpRequest request, Duration maxIdle, ExchangeListener listener) {
-		Exchange exchange = new Exchange(request, listener);
-		BackendConnection reused = pollIdleConnection(key, maxIdle.toNanos());
+		return send(key, new Exchange(request, Optional.empty(), listener), maxIdle);
+	}
+
+	/**
+	 * Sends a request whose response bears its id. A connection that has carried the same
+	 * id is not used again for it, as a server may repeat its earlier response.
+	 * @param key the connection pool to use, not null
+	 * @param request the request, not null; ownership passes to this client
+	 * @param id the id, not null
+	 * @param maxIdle the longest time that a reused connection may have been idle, not
+	 * null; zero for a new connection
+	 * @param listener the listener for the response or the failure, not null
+	 * @return the exchange, never null
+	 */
+	Exchange send(PoolKey key, FullHttpRequest request, String id, Duration maxIdle, ExchangeListener listener) {
+		return send(key, new Exchange(request, Optional.of(id), listener), maxIdle);
+	}
+
+	private Exchange send(PoolKey key, Exchange exchange, Duration maxIdle) {
+		BackendConnection reused = pollIdleConnection(key, exchange, maxIdle.toNanos());
 		if (reused != null) {
 			exchange.setConnectionUse(reused.nextUse());
 			reused.startExchange(exchange);
@@ -98,17 +117,24 @@
 		return exchange;
 	}
 
-	private BackendConnection pollIdleConnection(PoolKey key, long maxIdleNanos) {
-		ArrayDeque<BackendConnection> queue = this.idleConnections.get(key);
+	// Returns the connection that was used last among those that can carry the exchange.
+	private BackendConnection pollIdleConnection(PoolKey key, Exchange exchange, long maxIdleNanos) {
+		ArrayDeque<BackendConnection> queue = this.idleConnections.getOrDefault(key, new ArrayDeque<>());
 		long now = System.nanoTime();
-		while (queue != null && !queue.isEmpty()) {
-			BackendConnection connection = queue.peekLast();
+		Iterator<BackendConnection> latestFirst = queue.descendingIterator();
+		while (latestFirst.hasNext()) {
+			BackendConnection connection = latestFirst.next();
 			if (!connection.isReusable(now, Long.MAX_VALUE)) {
-				queue.pollLast();
+				latestFirst.remove();
 				connection.close();
-				continue;
 			}
-			return connection.isReusable(now, maxIdleNanos) ? queue.pollLast() : null;
+			else if (!connection.isReusable(now, maxIdleNanos)) {
+				return null;
+			}
+			else if (!connection.hasCarried(exchange)) {
+				latestFirst.remove();
+				return connection;
+			}
 		}
 		return null;
 	}
@@ -262,6 +288,8 @@
 
 		private final FullHttpRequest request;
 
+		private final Optional<String> id;
+
 		private final ExchangeListener listener;
 
 		private ChannelFuture connectFuture;
@@ -274,8 +302,9 @@
 
 		private ConnectionUse connectionUse;
 
-		private Exchange(FullHttpRequest request, ExchangeListener listener) {
+		private Exchange(FullHttpRequest request, Optional<String> id, ExchangeListener listener) {
 			this.request = request;
+			this.id = id;
 			this.listener = listener;
 		}
 
@@ -333,6 +362,11 @@
 			this.connectFuture = future;
 		}
 
+		// Returns the id that the response has to bear, empty if it bears none.
+		Optional<String> id() {
+			return this.id;
+		}
+
 		HttpMethod method() {
 			return this.request.method();
 		}
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -46,6 +46,8 @@
 
 	private final long number;
 
+	private final CarriedIds carriedIds = new CarriedIds();
+
 	private int useCount;
 
 	private ChannelHandlerContext context;
@@ -93,6 +95,11 @@
 		return new BackendClient.ConnectionUse(this.number, this.useCount);
 	}
 
+	// Returns whether this connection has carried a request with the id of the exchange.
+	boolean hasCarried(BackendClient.Exchange next) {
+		return next.id().filter(this.carriedIds::contains).isPresent();
+	}
+
 	boolean isWaitingForResponse() {
 		return this.exchange != null;
 	}
@@ -106,6 +113,7 @@
 		this.exchange = next;
 		this.isDelimitedByClose = false;
 		this.interimCount = 0;
+		next.id().ifPresent(this.carriedIds::add);
 		this.decoder.expectResponseTo(next.method());
 		this.writeFuture = this.context.writeAndFlush(next.startWrite(this.context.channel()));
 	}
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -128,7 +128,8 @@
 		BackendClient.PoolKey poolKey = poolKey();
 		Duration maxIdle = this.call.route.isRetryable() ? MAX_IDLE_RETRYABLE : MAX_IDLE_NON_RETRYABLE;
 		this.call.forwarder.metrics().recordSend(isFirst);
-		this.exchange = this.call.forwarder.client().send(poolKey, backendRequest, maxIdle, this);
+		this.exchange = this.call.forwarder.client()
+			.send(poolKey, backendRequest, this.call.requestMetadata.id().orElseThrow(), maxIdle, this);
 		LOG.info("request_sent", "request", this.call.key, "attempt", this.id, "server", serverId(), "connection",
 				this.exchange.connectionUse(), "route", this.call.route.name(), "send", this.call.sendCount,
 				"waited_ms", TimeUnit.NANOSECONDS.toMillis(this.startNanos - this.call.incoming.arrivedNanos()));
