Count requests where a test asks whether one was sent again

Cause: EndlessResponseTests.assertGivenUp counted the connections of the server. 30 ms after a response breaks, the host opens one more to find out whether the server still listens; beside load (average 20) it was counted: givesUpOnEndlessLine[5] expected 1 and got 2, once in a run of 137 tests. Change: the test counts the requests that the server got, which is what it guards against; as strict, as a request that is sent again is counted on any connection.

--- a/forward/src/test/java/org/celeryhill/forward/EndlessResponseTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/EndlessResponseTests.java
@@ -141,7 +141,9 @@
 		assertThat(this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", "b")))
 			.startsWith("HTTP/1.1 502");
 		assertThat(server.pollCloseEvent(MAX_MILLIS)).isEqualTo("closed");
-		assertThat(server.connectionCount()).isEqualTo(1);
+		// Another connection without a request may follow, which checks that the server
+		// still listens.
+		assertThat(server.receivedRequests()).hasSize(1);
 	}
 
 }
