Keep commands and reports off the connections of callers' requests

Cause: commands and reports to an engine used the same connection pool as callers' requests. An engine that repeats its response to a caller sent a 200 in place of the response to a command, which then counted as done although the engine had not read it. In the other direction a caller's request got the 202 of a command (the data path drops that one, as it lacks the id). Change: commands and reports have a pool of their own for each incarnation of an engine.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -220,6 +220,7 @@
 		usedPools.add(new BackendClient.PoolKey(this.settings.storeAddress(), StoreClient.CONNECTION_OWNER));
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
 			usedPools.add(new BackendClient.PoolKey(entry.address(), entry.incarnationId()));
+			usedPools.add(new BackendClient.PoolKey(entry.address(), PlatformEngineClient.connectionOwner(entry)));
 		}
 		this.client.closeIdleConnections((key) -> key.owner().equals("peer") || usedPools.contains(key));
 		this.front.closeExpiredConnections();
