--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -35,6 +35,7 @@
 import org.celeryhill.forward.RequestMetadata;
 import org.celeryhill.forward.ResponseChannel;
 import org.celeryhill.platform.JsonHttpClient;
+import org.celeryhill.platform.ResponseMatching;
 import org.celeryhill.platform.ServerEntryCodec;
 import org.celeryhill.state.LeaseRecord;
 
@@ -192,7 +193,8 @@
 
 	private static JsonHttpClient.Call peerCall(InetSocketAddress target, String path, ObjectNode body,
 			Duration timeout) {
-		return new JsonHttpClient.Call(target, "peer", "POST", path, Map.of(), Optional.of(body), timeout);
+		return new JsonHttpClient.Call(target, "peer", ResponseMatching.CONTENT, "POST", path, Map.of(),
+				Optional.of(body), timeout);
 	}
 
 	private void handleHeartbeatResponse(InetSocketAddress target, JsonNode reply, long sentNanos) {
--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.platform.JsonHttpClient;
+import org.celeryhill.platform.ResponseMatching;
 import org.celeryhill.platform.StoreClient;
 
 /**
@@ -103,7 +104,7 @@
 	void processRelayedCall(JsonNode body, Consumer<Optional<ObjectNode>> done) {
 		Optional<JsonNode> content = Optional.of(body.path("body")).filter(JsonNode::isObject);
 		JsonHttpClient.Call call = new JsonHttpClient.Call(this.store, StoreClient.CONNECTION_OWNER,
-				body.path("method").asText(), body.path("target").asText(), Map.of(), content,
+				ResponseMatching.CONTENT, body.path("method").asText(), body.path("target").asText(), Map.of(), content,
 				Duration.ofMillis(body.path("timeoutMs").asLong()));
 		this.calls.send(call).whenComplete((reply, failure) -> {
 			LOG.info("store_call_relayed", "target", call.target(), "status",
@@ -176,8 +177,8 @@
 			this.call.body().ifPresent((content) -> body.set("body", content));
 			long sentNanos = System.nanoTime();
 			CompletableFuture<JsonHttpClient.Response> sent = StoreRelay.this.calls
-				.send(new JsonHttpClient.Call(host.get(), "peer", "POST", PATH, Map.of(), Optional.of(body),
-						this.call.timeout().plus(RELAY_HOP_TIME)))
+				.send(new JsonHttpClient.Call(host.get(), "peer", ResponseMatching.CONTENT, "POST", PATH, Map.of(),
+						Optional.of(body), this.call.timeout().plus(RELAY_HOP_TIME)))
 				.thenApply((reply) -> new JsonHttpClient.Response(reply.body().path("status").asInt(reply.status()),
 						reply.body().path("body"), false));
 			this.relayedReply = Optional.of(sent);
