Return the id of a call from one host to another with the response

Cause: the response to a heartbeat, a relayed store call or a request for an adapter could not be told from that to an earlier call on the same connection. Change: each call to another host has a number, unique within the process, which the answering host returns in X-Call-Id, also with a failure. A response with another number fails the call with an unknown outcome. A response without a number is accepted: hosts of the version before return none, nor does a host that refuses a call before it has read its headers. Hosts of the version before ignore the header. Once no host of the version before is left, a missing number could be refused as well.

--- a/edge/src/main/java/org/celeryhill/edge/PeerService.java
+++ b/edge/src/main/java/org/celeryhill/edge/PeerService.java
@@ -18,7 +18,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.DataCentre;
@@ -193,7 +193,7 @@
 
 	private static JsonHttpClient.Call peerCall(InetSocketAddress target, String path, ObjectNode body,
 			Duration timeout) {
-		return new JsonHttpClient.Call(target, "peer", ResponseMatching.CONTENT, "POST", path, Map.of(),
+		return new JsonHttpClient.Call(target, "peer", ResponseMatching.CALL_ID, "POST", path, Map.of(),
 				Optional.of(body), timeout);
 	}
 
@@ -304,44 +304,31 @@
 	public ActiveRequest handle(IncomingRequest request, ResponseChannel channel) {
 		byte[] bytes = ByteBufUtil.getBytes(request.body());
 		request.body().release();
+		Responder responder = new Responder(channel, ResponseMatching.responseHeaders(request.headers()));
 		try {
 			JsonNode body = JsonHttpClient.MAPPER.readTree(bytes);
 			if (request.target().equals(HEARTBEAT_PATH)) {
-				int responseBytes = respond(channel, processHeartbeat(body));
+				int responseBytes = responder.respond(processHeartbeat(body));
 				this.heartbeatVolume.add(bytes.length, responseBytes, this.members.count());
 			}
 			else if (request.target().equals(ADAPTER_PATH)) {
-				processAdapterRequest(body, channel);
+				processAdapterRequest(body, responder);
 			}
 			else if (request.target().equals(StoreRelay.PATH)) {
-				this.storeRelay.processRelayedCall(body,
-						(reply) -> reply.ifPresentOrElse((found) -> respond(channel, found),
-								() -> channel.respond(HttpResponseStatus.BAD_GATEWAY, EmptyHttpHeaders.INSTANCE,
-										Unpooled.EMPTY_BUFFER)));
+				this.storeRelay.processRelayedCall(body, (reply) -> reply.ifPresentOrElse(responder::respond,
+						() -> responder.fail(HttpResponseStatus.BAD_GATEWAY)));
 			}
 			else {
-				channel.respond(HttpResponseStatus.NOT_FOUND, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
+				responder.fail(HttpResponseStatus.NOT_FOUND);
 			}
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			LOG.warn("peer_message_malformed", "target", request.target(), "cause", ex.getMessage());
-			channel.respond(HttpResponseStatus.BAD_REQUEST, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
+			responder.fail(HttpResponseStatus.BAD_REQUEST);
 		}
 		return ActiveRequest.NONE;
 	}
 
-	// Sends a response and returns the size of its body in bytes.
-	private static int respond(ResponseChannel channel, ObjectNode body) {
-		try {
-			byte[] bytes = JsonHttpClient.MAPPER.writeValueAsBytes(body);
-			channel.respond(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE, Unpooled.wrappedBuffer(bytes));
-			return bytes.length;
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("failed to encode a message", ex);
-		}
-	}
-
 	private ObjectNode processHeartbeat(JsonNode body) {
 		String sender = body.path("address").asText();
 		ServerEntryCodec.address(sender);
@@ -380,7 +367,7 @@
 		return reply;
 	}
 
-	private void processAdapterRequest(JsonNode body, ResponseChannel channel) {
+	private void processAdapterRequest(JsonNode body, Responder responder) {
 		BackendServerId engine = BackendServerId.of(body.path("engine").asText());
 		RequestMetadata.ModelName name = new RequestMetadata.ModelName(ModelId.of(body.path("model").asText()),
 				PeerMessages.findText(body, "adapter"));
@@ -388,7 +375,7 @@
 			if (isLoaded) {
 				this.forwarder.directory().addAdapter(engine, name.toId());
 			}
-			respond(channel, JsonHttpClient.MAPPER.createObjectNode().put("isLoaded", isLoaded));
+			responder.respond(JsonHttpClient.MAPPER.createObjectNode().put("isLoaded", isLoaded));
 		});
 	}
 
@@ -397,4 +384,30 @@
 		return IngressLimits.DEFAULTS;
 	}
 
+	/**
+	 * Responds to one call of another host.
+	 *
+	 * @param channel sends the response
+	 * @param headers the headers of the response, by which the other host recognizes it
+	 */
+	private record Responder(ResponseChannel channel, HttpHeaders headers) {
+
+		// Sends a response and returns the size of its body in bytes.
+		int respond(ObjectNode body) {
+			try {
+				byte[] bytes = JsonHttpClient.MAPPER.writeValueAsBytes(body);
+				this.channel.respond(HttpResponseStatus.OK, this.headers, Unpooled.wrappedBuffer(bytes));
+				return bytes.length;
+			}
+			catch (IOException ex) {
+				throw new IllegalStateException("failed to encode a message", ex);
+			}
+		}
+
+		void fail(HttpResponseStatus status) {
+			this.channel.respond(status, this.headers, Unpooled.EMPTY_BUFFER);
+		}
+
+	}
+
 }
--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -177,7 +177,7 @@
 			this.call.body().ifPresent((content) -> body.set("body", content));
 			long sentNanos = System.nanoTime();
 			CompletableFuture<JsonHttpClient.Response> sent = StoreRelay.this.calls
-				.send(new JsonHttpClient.Call(host.get(), "peer", ResponseMatching.CONTENT, "POST", PATH, Map.of(),
+				.send(new JsonHttpClient.Call(host.get(), "peer", ResponseMatching.CALL_ID, "POST", PATH, Map.of(),
 						Optional.of(body), this.call.timeout().plus(RELAY_HOP_TIME)))
 				.thenApply((reply) -> new JsonHttpClient.Response(reply.body().path("status").asInt(reply.status()),
 						reply.body().path("body"), false));
