Bound what callers send ahead on their connections by bytes

Cause: While a request is handled, up to 256 decoded messages of the next ones waited on its connection, each with up to 64 KB. Reading paused by their number only, and no limit covered all connections. Change: RequestDecoder decodes one request at a time. What follows waits as received, 64 KB and one read on a connection; past that, or past 16 MB on all connections, a connection that waits for a response is not read. When the response is finished, decoding goes on. IngressConnectionTests passed decoded messages to the connection; these no longer wait there. The three tests now pass the same requests as bytes, with the decoder in the pipeline, in the same order with the tasks of the event loop, and expect the same. A caller whose connection is not read leaves unnoticed until its response is written.

--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -1,8 +1,5 @@
 package org.celeryhill.forward;
 
-import java.util.ArrayDeque;
-import java.util.Queue;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -36,21 +33,18 @@
 
 	private static final EventLog LOG = EventLog.of(IngressConnection.class);
 
-	/** Messages of pipelined requests that are queued before reading is paused. */
-	private static final int MAX_QUEUED_MESSAGES = 256;
-
 	/** Size of the parts in which a long response is handed to the connection. */
 	private static final int MAX_PART_BYTES = 65_536;
 
 	/** Time added to the idle timeout for a request whose body is incomplete. */
 	private static final long BODY_TIMEOUT_SLACK_NANOS = IngressServer.millisToNanos(500);
 
-	private final Queue<HttpObject> waiting = new ArrayDeque<>();
-
 	private final IngressServer server;
 
 	private final RequestHandler handler;
 
+	private final RequestDecoder decoder;
+
 	private ChannelHandlerContext context;
 
 	private HttpRequest currentRequest;
@@ -67,6 +61,8 @@
 
 	private boolean isHandlingRequest;
 
+	private boolean isNextRequestPending;
+
 	private boolean isClosePending;
 
 	private boolean isChunkedSupported;
@@ -80,9 +76,10 @@
 
 	private ChannelFuture lastWrite;
 
-	IngressConnection(IngressServer server, RequestHandler handler) {
+	IngressConnection(IngressServer server, RequestHandler handler, RequestDecoder decoder) {
 		this.server = server;
 		this.handler = handler;
+		this.decoder = decoder;
 	}
 
 	@Override
@@ -92,36 +89,27 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
-		if (this.isClosePending && !this.isHandlingRequest) {
-			ReferenceCountUtil.release(message);
-			return;
-		}
-		// Later messages must not overtake those that wait to be handled.
-		if (this.isHandlingRequest || !this.waiting.isEmpty()) {
-			this.waiting.add((HttpObject) message);
-			if (this.waiting.size() > MAX_QUEUED_MESSAGES) {
-				ctx.channel().config().setAutoRead(false);
+		try {
+			// The rest of a request that was rejected is of no use.
+			if (!this.isHandlingRequest && !this.isClosePending) {
+				handleMessage((HttpObject) message);
 			}
-			return;
 		}
-		handleMessage((HttpObject) message);
+		finally {
+			ReferenceCountUtil.release(message);
+		}
 	}
 
 	private void handleMessage(HttpObject message) {
-		try {
-			if (message.decoderResult().isFailure()) {
-				rejectMalformed(message.decoderResult().cause());
-				return;
-			}
-			if (message instanceof HttpRequest request) {
-				startRequest(request);
-			}
-			if (message instanceof HttpContent content && this.currentRequest != null) {
-				appendBody(content);
-			}
+		if (message.decoderResult().isFailure()) {
+			rejectMalformed(message.decoderResult().cause());
+			return;
 		}
-		finally {
-			ReferenceCountUtil.release(message);
+		if (message instanceof HttpRequest request) {
+			startRequest(request);
+		}
+		if (message instanceof HttpContent content && this.currentRequest != null) {
+			appendBody(content);
 		}
 	}
 
@@ -136,7 +124,7 @@
 	private void reject(HttpResponseStatus status) {
 		discardRequest();
 		this.isClosePending = true;
-		this.isHandlingRequest = true;
+		startHandling();
 		respond(status, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
 	}
 
@@ -192,7 +180,7 @@
 		ByteBuf bytes = this.body;
 		this.currentRequest = null;
 		this.body = null;
-		this.isHandlingRequest = true;
+		startHandling();
 		this.isClosePending |= !HttpUtil.isKeepAlive(request);
 		this.isChunkedSupported = request.protocolVersion().isKeepAliveDefault();
 		IncomingRequest incoming = new IncomingRequest(request.method(), request.uri(), request.headers(), bytes,
@@ -203,6 +191,11 @@
 		}
 	}
 
+	private void startHandling() {
+		this.isHandlingRequest = true;
+		this.decoder.pause();
+	}
+
 	private void discardRequest() {
 		this.currentRequest = null;
 		this.body = null;
@@ -302,11 +295,10 @@
 		this.isClosePending |= this.server.isClosingIdleConnections();
 		if (this.isClosePending) {
 			writeFuture.addListener(ChannelFutureListener.CLOSE);
-			releaseQueuedMessages();
 			return;
 		}
-		this.context.channel().config().setAutoRead(true);
-		this.context.executor().execute(this::handleQueuedMessages);
+		this.isNextRequestPending = true;
+		this.context.executor().execute(this::readNextRequest);
 	}
 
 	private void handleResponseWritten(Throwable failure) {
@@ -321,9 +313,10 @@
 		return this.unwrittenBody != null || (this.lastWrite != null && !this.lastWrite.isDone());
 	}
 
-	private void handleQueuedMessages() {
-		while (!this.isHandlingRequest && !this.waiting.isEmpty()) {
-			handleMessage(this.waiting.poll());
+	private void readNextRequest() {
+		this.isNextRequestPending = false;
+		if (this.context.channel().isActive()) {
+			this.decoder.resume();
 		}
 	}
 
@@ -339,7 +332,7 @@
 	}
 
 	void closeIfIdle() {
-		if (!this.isHandlingRequest && this.currentRequest == null && this.waiting.isEmpty()
+		if (!this.isHandlingRequest && !this.isNextRequestPending && this.currentRequest == null
 				&& !isResponseUnwritten()) {
 			this.context.close();
 		}
@@ -388,7 +381,6 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.server.removeConnection(this);
-		releaseQueuedMessages();
 		RequestHandler.ActiveRequest activeRequest = this.running;
 		this.running = null;
 		if (this.unwrittenBody != null) {
@@ -403,11 +395,6 @@
 		}
 	}
 
-	private void releaseQueuedMessages() {
-		this.waiting.forEach(ReferenceCountUtil::release);
-		this.waiting.clear();
-	}
-
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		if (!(cause instanceof java.io.IOException)) {
--- a/forward/src/main/java/org/celeryhill/forward/IngressServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressServer.java
@@ -15,8 +15,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
@@ -38,6 +36,9 @@
 	/** Limit on the size of the buffered request bodies of all connections. */
 	private static final long MAX_BUFFERED_BODY_BYTES = 64L << 20;
 
+	/** Limit on the memory of what callers have sent ahead on all connections. */
+	private static final long MAX_WAITING_BYTES = 16L << 20;
+
 	private final Set<IngressConnection> connections = new HashSet<>();
 
 	private final EventLoop loop;
@@ -52,6 +53,8 @@
 
 	private long bufferedBodyBytes;
 
+	private long waitingBytes;
+
 	private IngressServer(EventLoop loop, RequestHandler handler) {
 		this.loop = loop;
 		this.handler = handler;
@@ -91,12 +94,13 @@
 		return bound;
 	}
 
-	private void initConnection(SocketChannel channel) {
+	void initConnection(Channel channel) {
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
 			.setMaxHeaderSize(this.handler.limits().maxHeaderBytes())
 			.setMaxChunkSize(MAX_CHUNK_BYTES);
-		IngressConnection connection = new IngressConnection(this, this.handler);
-		channel.pipeline().addLast(new StrictRequestDecoder(config), new HttpResponseEncoder(), connection);
+		RequestDecoder decoder = new RequestDecoder(config, this);
+		IngressConnection connection = new IngressConnection(this, this.handler, decoder);
+		channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
 		this.connections.add(connection);
 	}
 
@@ -116,6 +120,20 @@
 		this.bufferedBodyBytes -= bytes;
 	}
 
+	// Adds to the memory of what callers have sent ahead, or subtracts from it.
+	void addWaitingBytes(int bytes) {
+		this.waitingBytes += bytes;
+	}
+
+	long waitingBytes() {
+		return this.waitingBytes;
+	}
+
+	// Returns whether a connection may be read on while a request of it is handled.
+	boolean isWaitingAllowed() {
+		return this.waitingBytes <= MAX_WAITING_BYTES;
+	}
+
 	boolean isDraining() {
 		return this.isDraining;
 	}
@@ -179,21 +197,4 @@
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
-	/**
-	 * Rejects a request with both Content-Length and Transfer-Encoding. Two parsers could
-	 * disagree about where it ends, which allows request smuggling.
-	 */
-	private static final class StrictRequestDecoder extends HttpRequestDecoder {
-
-		StrictRequestDecoder(HttpDecoderConfig config) {
-			super(config);
-		}
-
-		@Override
-		protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-			throw new IllegalArgumentException("request has both Content-Length and Transfer-Encoding");
-		}
-
-	}
-
 }
--- a/forward/src/test/java/org/celeryhill/forward/IngressConnectionTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/IngressConnectionTests.java
@@ -3,30 +3,37 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Tests of {@link IngressConnection} with requests that follow on a connection before the
- * response to the one before. Messages are passed on by hand, so that their order with
- * the tasks of the event loop is known.
+ * response to the one before. Bytes are passed on by hand, so that their order with the
+ * tasks of the event loop is known.
  */
 class IngressConnectionTests {
 
+	/** Largest number of bytes that are read at a time. */
+	private static final int PART_BYTES = 65_536;
+
+	/** Limit of the bytes that wait on one connection, and one part. */
+	private static final int MAX_WAITING_BYTES = 65_536 + PART_BYTES;
+
+	/** Limit of the bytes that wait on all connections. */
+	private static final int MAX_ALL_WAITING_BYTES = 16 << 20;
+
 	private final List<String> handled = new ArrayList<>();
 
 	private final List<ResponseChannel> channels = new ArrayList<>();
@@ -52,7 +59,8 @@
 			}
 		};
 		this.server = IngressServer.create(null, handler);
-		this.channel = new EmbeddedChannel(new IngressConnection(this.server, handler));
+		this.channel = new EmbeddedChannel();
+		this.server.initConnection(this.channel);
 	}
 
 	@AfterEach
@@ -60,18 +68,13 @@
 		this.channel.finishAndReleaseAll();
 	}
 
-	private void readHead(String target) {
-		this.channel.pipeline().fireChannelRead(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT, target));
-	}
-
-	private void readBody(String text) {
-		this.channel.pipeline()
-			.fireChannelRead(new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+	private static String put(String target, String body) {
+		return "PUT " + target + " HTTP/1.1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
 	}
 
-	private void readEnd(String text) {
-		this.channel.pipeline()
-			.fireChannelRead(new DefaultLastHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+	// Unlike EmbeddedChannel.writeInbound, runs no tasks.
+	private void read(String text) {
+		this.channel.pipeline().fireChannelRead(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
 	}
 
 	private void respond(int index, String text) {
@@ -81,25 +84,26 @@
 	}
 
 	private List<String> responses() {
-		List<String> texts = new ArrayList<>();
-		for (Object message = this.channel.readOutbound(); message != null; message = this.channel.readOutbound()) {
-			FullHttpResponse response = (FullHttpResponse) message;
-			texts.add(response.content().toString(StandardCharsets.UTF_8));
-			response.release();
+		StringBuilder text = new StringBuilder();
+		for (ByteBuf part = this.channel.readOutbound(); part != null; part = this.channel.readOutbound()) {
+			text.append(part.toString(StandardCharsets.UTF_8));
+			part.release();
 		}
-		return texts;
+		return Stream.of(text.toString().split("HTTP/1.1 200 OK\r\n"))
+			.filter((response) -> !response.isEmpty())
+			.map((response) -> response.substring(response.indexOf("\r\n\r\n") + 4))
+			.toList();
 	}
 
 	// Guards against a request that loses a part of its body, when the part is read after
 	// the response to the request before and ahead of the messages that wait.
 	@Test
 	void bodyOfWaitingRequestIsWhole() {
-		readHead("/first");
-		readEnd("1");
-		readHead("/second");
-		readBody("ab");
+		String second = put("/second", "abcd");
+		read(put("/first", "1"));
+		read(second.substring(0, second.length() - 2));
 		respond(0, "for first");
-		readEnd("cd");
+		read("cd");
 		this.channel.runPendingTasks();
 		assertThat(this.handled).containsExactly("/first 1", "/second abcd");
 	}
@@ -108,13 +112,10 @@
 	// taken for that of the other.
 	@Test
 	void laterRequestDoesNotOvertakeWaitingOne() {
-		readHead("/first");
-		readEnd("1");
-		readHead("/second");
-		readEnd("2");
+		read(put("/first", "1"));
+		read(put("/second", "2"));
 		respond(0, "for first");
-		readHead("/third");
-		readEnd("3");
+		read(put("/third", "3"));
 		this.channel.runPendingTasks();
 		respond(1, "for second");
 		this.channel.runPendingTasks();
@@ -127,10 +128,8 @@
 	// waits to be handled and is passed on then.
 	@Test
 	void connectionWithWaitingRequestIsNotIdle() {
-		readHead("/first");
-		readEnd("1");
-		readHead("/second");
-		readEnd("2");
+		read(put("/first", "1"));
+		read(put("/second", "2"));
 		respond(0, "for first");
 		((IngressConnection) this.channels.get(0)).closeIfIdle();
 		this.channel.runPendingTasks();
@@ -138,4 +137,52 @@
 		assertThat(responses()).containsExactly("for first", "for second");
 	}
 
+	// Guards against requests that are sent ahead without limit, of which each takes more
+	// memory when it is decoded than the bytes that were sent.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 1_000_000 })
+	void connectionIsNotReadFurtherPastLimitOfBytesThatWait(int bodyBytes) {
+		read(put("/first", "1"));
+		String part = put("/next", "x".repeat(bodyBytes)).repeat(1 + PART_BYTES / (bodyBytes + 1))
+			.substring(0, PART_BYTES);
+		int sentBytes = 0;
+		while (this.channel.config().isAutoRead() && sentBytes < 100 * PART_BYTES) {
+			read(part);
+			sentBytes += PART_BYTES;
+		}
+		assertThat(sentBytes).isLessThanOrEqualTo(MAX_WAITING_BYTES);
+		assertThat(this.handled).containsExactly("/first 1");
+	}
+
+	// Guards against a connection that is not read again after its requests were handled.
+	@Test
+	void connectionIsReadAgainWhenRequestsThatWaitedAreHandled() {
+		int count = 1 + MAX_WAITING_BYTES / put("/next", "1").length();
+		read(put("/next", "1").repeat(count));
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		for (int i = 0; i < count; i++) {
+			respond(i, "response " + i);
+			this.channel.runPendingTasks();
+		}
+		assertThat(this.channel.config().isAutoRead()).isTrue();
+		assertThat(this.handled).hasSize(count);
+		assertThat(responses()).hasSize(count)
+			.startsWith("response 0", "response 1")
+			.endsWith("response " + (count - 1));
+	}
+
+	// Guards against many connections that use up the memory together, and against a
+	// count of it that does not return to zero.
+	@Test
+	void connectionsAreNotReadFurtherPastLimitForAllOfThem() {
+		read(put("/first", "1"));
+		this.server.addWaitingBytes(MAX_ALL_WAITING_BYTES);
+		read("PUT");
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		this.server.addWaitingBytes(-MAX_ALL_WAITING_BYTES);
+		assertThat(this.server.waitingBytes()).isPositive();
+		this.channel.finishAndReleaseAll();
+		assertThat(this.server.waitingBytes()).isZero();
+	}
+
 }
