Skip a response to an earlier request that a server sends once more

Callers saw: 502, or a second attempt at another server, for requests that ran and were answered. Cause: a whole copy of an earlier response, sent when the next request had been read, ended the exchange of that request as broken, reset its connection and counted as a failure of the server, which is left out for 2 s after two of them; the response behind the copy was lost. Change: a response that bears the id of an earlier request of its connection is skipped, up to 16 in an exchange, if it has a length or chunks and arrives as a whole within 50 ms; else the exchange fails as before. A skipped response says nothing of its server. Evidence: RepeatedResponseTests.wholeCopyBeforeResponseIsSkipped and wholeCopyOfStreamIsSkipped, 8 of 8 cases failed before (502, 503) and pass; copyThatBreaksOffInItsBodyEndsTheExchangeAtOnce passes before and after.

--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -38,6 +38,15 @@
 	 */
 	private static final long RESET_WAIT_MS = 50;
 
+	/**
+	 * Time in which a response that is sent once more arrives as a whole. One that breaks
+	 * off would take up the response behind it.
+	 */
+	private static final long REPEATED_RESPONSE_WAIT_MS = 50;
+
+	/** Repeated responses in one exchange after which the server is given up. */
+	private static final int MAX_REPEATED_RESPONSES = 16;
+
 	private static final int MAX_HEAD_BYTES = 65_536;
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
@@ -70,6 +79,10 @@
 
 	private int interimCount;
 
+	private int repeatedCount;
+
+	private boolean isSkippingResponse;
+
 	private boolean isDelimitedByClose;
 
 	private boolean isResetAwaited;
@@ -120,6 +133,8 @@
 		this.exchange = next;
 		this.isDelimitedByClose = false;
 		this.interimCount = 0;
+		this.repeatedCount = 0;
+		this.isSkippingResponse = false;
 		next.id().ifPresent(this.carriedIds::add);
 		this.decoder.expectResponseTo(next.method());
 		this.writeFuture = this.context.writeAndFlush(next.startWrite(this.context.channel()));
@@ -162,6 +177,10 @@
 			failExchange("response is not valid HTTP: " + message.decoderResult().cause());
 			return;
 		}
+		if (this.isSkippingResponse) {
+			this.isSkippingResponse = !(message instanceof LastHttpContent);
+			return;
+		}
 		if (message instanceof HttpResponse head) {
 			Optional<String> embedded = ResponseHeads.findEmbeddedStatusLine(head);
 			if (embedded.isPresent()) {
@@ -176,6 +195,10 @@
 				}
 				return;
 			}
+			if (isRepeated(head)) {
+				startSkippingResponse(ctx, head);
+				return;
+			}
 			this.isKeepAlive = HttpUtil.isKeepAlive(head);
 			this.isDelimitedByClose = !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
 			parseKeepAliveTimeout(head);
@@ -191,6 +214,34 @@
 		}
 	}
 
+	// Returns whether a response is that to an earlier request of this connection.
+	private boolean isRepeated(HttpResponse head) {
+		Optional<String> id = this.exchange.listener().requestIdOf(head);
+		return id.filter(this.carriedIds::contains).isPresent() && !id.equals(this.exchange.id());
+	}
+
+	private void startSkippingResponse(ChannelHandlerContext ctx, HttpResponse head) {
+		LOG.warn("response_repeated", "server", this.key.owner(), "connection", lastUse(), "status",
+				head.status().code());
+		this.repeatedCount++;
+		boolean isDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+		if (!isDelimited || this.repeatedCount > MAX_REPEATED_RESPONSES) {
+			failExchange("response to an earlier request, not skipped");
+			return;
+		}
+		this.isSkippingResponse = true;
+		BackendClient.Exchange current = this.exchange;
+		int number = this.repeatedCount;
+		ctx.executor()
+			.schedule(() -> failIfSkipping(current, number), REPEATED_RESPONSE_WAIT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void failIfSkipping(BackendClient.Exchange current, int number) {
+		if (this.exchange == current && this.isSkippingResponse && this.repeatedCount == number) {
+			failExchange("response to an earlier request is not whole");
+		}
+	}
+
 	private void failMixedHead(HttpResponse head, String embedded) {
 		LOG.warn("response_head_mixed", "server", this.key.owner(), "connection", lastUse(), "status",
 				head.status().code(), "contains", embedded);
--- a/forward/src/main/java/org/celeryhill/forward/ExchangeListener.java
+++ b/forward/src/main/java/org/celeryhill/forward/ExchangeListener.java
@@ -1,5 +1,7 @@
 package org.celeryhill.forward;
 
+import java.util.Optional;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -9,6 +11,15 @@
  */
 public interface ExchangeListener {
 
+	/**
+	 * Returns the id of the request that a response belongs to.
+	 * @param response the status line and headers, not null
+	 * @return the id, empty if the response bears none
+	 */
+	default Optional<String> requestIdOf(HttpResponse response) {
+		return Optional.empty();
+	}
+
 	/**
 	 * Called when the status line and the headers of the response arrive.
 	 * @param response the status line and headers, not null
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -153,6 +153,11 @@
 				EmptyHttpHeaders.INSTANCE);
 	}
 
+	@Override
+	public Optional<String> requestIdOf(HttpResponse response) {
+		return this.call.forwarder.headerCodec().decodeResponse(response).attemptId();
+	}
+
 	@Override
 	public void onHead(HttpResponse response) {
 		this.response = response;
--- a/forward/src/test/java/org/celeryhill/forward/RepeatedResponseTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/RepeatedResponseTests.java
@@ -1,6 +1,7 @@
 package org.celeryhill.forward;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 
 import org.celeryhill.base.KnownRedCondition;
@@ -25,6 +26,9 @@
 
 	private static final String BODY = "whole";
 
+	/** Well before the deadline of the requests, 5 s. */
+	private static final Duration MAX_WAIT = Duration.ofSeconds(2);
+
 	private ForwardFixture fixture;
 
 	@BeforeEach
@@ -131,6 +135,65 @@
 		return (status == 200) ? success(id) : failure(status, id);
 	}
 
+	// Guards against a request that fails, or that runs at another server once more,
+	// because the server sends the response to an earlier request before its own.
+	@ParameterizedTest
+	@CsvSource({ "200, /many/x", "500, /many/x", "503, /many/x", "200, /once/x", "500, /once/x", "503, /once/x" })
+	void wholeCopyBeforeResponseIsSkipped(int copied, String path) throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			String id = request.header("id", "");
+			connection.send(id.equals("second") ? response(copied, "first") + success(id) : response(copied, id));
+		})) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			assertThat(call(path, "first")).startsWith("HTTP/1.1 " + copied);
+			assertThat(call(path, "second")).startsWith("HTTP/1.1 200").contains("id: second").endsWith(BODY);
+			assertThat(server.receivedRequests()).hasSize(2);
+		}
+	}
+
+	// Guards against the same with streams, and against events of the copy in the stream.
+	@ParameterizedTest
+	@ValueSource(strings = { "/stream/x", "/resumable/x" })
+	void wholeCopyOfStreamIsSkipped(String path) throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			String id = request.header("id", "");
+			connection.send(id.equals("second") ? stream("first") + stream(id) : stream(id));
+		})) {
+			this.fixture.addServer("e1", ForwardFixture.ENGINE_SERVICE, server);
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.generateRequest(path, "first")))
+				.contains("data: for first")
+				.endsWith("0\r\n\r\n");
+			assertThat(this.fixture.sendAndReadAll(ForwardFixture.generateRequest(path, "second")))
+				.contains("data: for second")
+				.doesNotContain("for first")
+				.endsWith("0\r\n\r\n");
+			assertThat(server.receivedRequests()).hasSize(2);
+		}
+	}
+
+	private static String stream(String id) {
+		String event = "id: 1\ndata: for " + id + "\n\n";
+		return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nsigned: s\r\ntransfer-encoding: chunked\r\n\r\n"
+				+ Integer.toHexString(event.length()) + "\r\n" + event + "\r\n0\r\n\r\n";
+	}
+
+	// Guards against a request that waits until its deadline, because a copy that breaks
+	// off in its body takes up the response behind it.
+	@Test
+	void copyThatBreaksOffInItsBodyEndsTheExchangeAtOnce() throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			String id = request.header("id", "");
+			String copy = success("first").replace("content-length: 5", "content-length: 5000");
+			connection.send(id.equals("second") ? copy + success(id) : success(id));
+		})) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			assertThat(call("/once/x", "first")).endsWith(BODY);
+			long start = System.nanoTime();
+			assertThat(call("/once/x", "second")).startsWith("HTTP/1.1 502");
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(MAX_WAIT);
+		}
+	}
+
 	// Guards against connections that are given up without need: a server that answers
 	// each request once keeps its connection.
 	@Test
