Check the id of a response before anything is taken from it

Callers saw (review): 502 for a request that followed one whose caller had left, and a wait for a server that was not full. Cause: a request that may not be repeated goes on when its caller leaves; from then on any response ended it, also a copy of an earlier one, and the connection was used while the server was still at work. Load, leaving and pause were taken from a response before its id was compared. Change: the id comes first, with and without a caller. Evidence: RepeatedResponseBoundaryTests.copyDoesNotEndRequestWhoseCallerHasLeft and copyOfRefusalDoesNotPauseServerAgain failed before (502 for 200; 358 ms for 200 at most) and pass.

--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -162,27 +162,39 @@
 	public void onHead(HttpResponse response) {
 		this.response = response;
 		this.responseMetadata = this.call.forwarder.headerCodec().decodeResponse(response);
-		this.responseMetadata.load()
-			.ifPresent((load) -> this.call.forwarder.directory().observeLoad(this.server.id(), load));
-		if (this.responseMetadata.isLeaving()) {
-			this.call.forwarder.recordLeaving(this.server);
-		}
-		this.responseMetadata.pause().ifPresent((pause) -> this.call.forwarder.pauseServer(this.server, pause));
-		if (this.isDetached || this.isFinished) {
-			return;
-		}
-		Optional<String> expected = this.call.requestMetadata.id();
-		if (!this.responseMetadata.attemptId().equals(expected)) {
-			abortExchange("response belongs to another request: " + this.responseMetadata.attemptId().orElse("none"));
+		if (!this.responseMetadata.attemptId().equals(this.call.requestMetadata.id())) {
+			rejectForeignResponse();
 			return;
 		}
+		observeServer();
 		boolean isStream = this.call.route.kind() == Route.Kind.STREAM && isSuccess();
-		if (isStream && this.responseMetadata.isSigned()) {
+		if (isStream && this.responseMetadata.isSigned() && !this.isDetached) {
 			this.eventSplitter = new EventSplitter();
 			this.tokensPerEvent = tokensPerEvent();
 		}
 	}
 
+	private void rejectForeignResponse() {
+		String detail = "response belongs to another request: " + this.responseMetadata.attemptId().orElse("none");
+		if (!this.isDetached) {
+			abortExchange(detail);
+			return;
+		}
+		logFailure(detail);
+		this.exchange.cancel();
+		finish(AttemptOutcome.BROKEN);
+	}
+
+	// Takes note of what the server says of itself.
+	private void observeServer() {
+		this.responseMetadata.load()
+			.ifPresent((load) -> this.call.forwarder.directory().observeLoad(this.server.id(), load));
+		if (this.responseMetadata.isLeaving()) {
+			this.call.forwarder.recordLeaving(this.server);
+		}
+		this.responseMetadata.pause().ifPresent((pause) -> this.call.forwarder.pauseServer(this.server, pause));
+	}
+
 	private boolean isSuccess() {
 		return this.response.status().code() / 100 == 2;
 	}
