Keep connections out of the pool while a head is incomplete

Callers saw (review): 502 for a request that its server answered. Cause: the decoder consumes a head line by line, so that a copy that breaks off at the end of a line, right behind a response, leaves no byte, and its connection returned to the pool. Change: the decoder says whether a head has begun. Evidence: RepeatedResponseBoundaryTests.copyThatBreaksOffAtEndOfLineEndsIdleConnection failed at each of 4 line ends before (502 for 500) and passes.

--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -337,7 +337,7 @@
 
 	// Bytes behind the response are the part of a message that belongs to no exchange.
 	private void returnToPool(ChannelHandlerContext ctx) {
-		if (this.decoder.hasBytesLeft()) {
+		if (this.decoder.isWithinMessage()) {
 			LOG.warn("bytes_unexpected", "server", this.key.owner(), "connection", lastUse());
 			BackendClient.reset(ctx.channel());
 			return;
--- a/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
@@ -1,5 +1,9 @@
 package org.celeryhill.forward;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -15,6 +19,8 @@
 
 	private boolean isHeadRequest;
 
+	private boolean isHeadIncomplete;
+
 	ResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -28,11 +34,24 @@
 	}
 
 	/**
-	 * Returns whether bytes were received that belong to no message yet.
-	 * @return whether bytes are left
+	 * Returns whether a message has begun that is not passed on yet. The decoder consumes
+	 * the lines of a head one by one.
+	 * @return whether bytes are left or a head is incomplete
 	 */
-	boolean hasBytesLeft() {
-		return actualReadableBytes() > 0;
+	boolean isWithinMessage() {
+		return actualReadableBytes() > 0 || this.isHeadIncomplete;
+	}
+
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		this.isHeadIncomplete = true;
+		return super.createMessage(initialLine);
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		super.decode(ctx, buffer, out);
+		this.isHeadIncomplete &= out.isEmpty();
 	}
 
 	@Override
