Pass on no body that holds the head of its own response

Callers saw (review): a 200 whose body ends with a part of a head; a stream with a head as an event and each event twice. Cause: a body that breaks off takes up what follows until its length is reached; a body without a length takes up everything. If the server sends its response once more, that is the head of the second copy. Change: a status line within a body or an event that is followed by the id of the request, or whose head goes on behind the body, ends the exchange as broken; the events before it are passed on. Evidence: RepeatedResponseBoundaryTests.bodyIsNotFilledUpWithCopyOfItsResponse, bodyWithoutLengthIsNotFollowedByCopyOfItsResponse and eventsOfRepeatedStreamAreNotPassedOnTwice, 6 of 6 cases failed before and pass. Not covered: responses that are passed on before they are whole for want of memory, and a copy whose first bytes only fill up a body and whose rest arrives later.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -302,6 +302,8 @@
 
 		private ConnectionUse connectionUse;
 
+		private String textBehind = "";
+
 		private Exchange(FullHttpRequest request, Optional<String> id, ExchangeListener listener) {
 			this.request = request;
 			this.id = id;
@@ -381,7 +383,13 @@
 			return this.listener;
 		}
 
-		void complete() {
+		// Returns the first bytes that were received behind the response.
+		String textBehind() {
+			return this.textBehind;
+		}
+
+		void complete(String bytesBehind) {
+			this.textBehind = bytesBehind;
 			this.isEnded = true;
 			this.listener.onEnd();
 		}
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -307,7 +307,7 @@
 		if (!this.isReturnDue) {
 			ctx.close();
 		}
-		completedExchange.complete();
+		completedExchange.complete(this.decoder.textBehind());
 	}
 
 	private void failExchange(String detail) {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -303,6 +304,10 @@
 			recordServed();
 		}
 		for (EventSplitter.Event event : events) {
+			if (holdsOwnResponse(event.bytes(), "")) {
+				abortExchange("stream holds a second copy of the response");
+				return;
+			}
 			this.call.eventCount++;
 			if (event.id().isPresent()) {
 				this.call.lastEventId = event.id();
@@ -372,6 +377,9 @@
 		else if (this.call.isStreaming) {
 			handleFailureAfterSend("stream not continued: status " + this.response.status().code());
 		}
+		else if (this.body != null && holdsOwnResponse(ByteBufUtil.getBytes(this.body), this.exchange.textBehind())) {
+			abortExchange("body holds a second copy of the response");
+		}
 		else if (isSuccess() && !isDeliverable()) {
 			abortExchange("successful response without signature or with a content encoding");
 		}
@@ -380,6 +388,12 @@
 		}
 	}
 
+	// Returns whether a part of the response has broken off and is followed by the head
+	// of the same response, sent once more.
+	private boolean holdsOwnResponse(byte[] bytes, String textBehind) {
+		return ResponseHeads.holdsHead(bytes, textBehind, this.call.requestMetadata.id().orElseThrow());
+	}
+
 	// Returns whether the response is one of a backend server in a form that the caller
 	// asked for.
 	private boolean isDeliverable() {
--- a/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
@@ -17,6 +18,8 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+	private static final int MAX_TEXT_BYTES = 60;
+
 	private boolean isHeadRequest;
 
 	private boolean isHeadIncomplete;
@@ -42,6 +45,20 @@
 		return actualReadableBytes() > 0 || this.isHeadIncomplete;
 	}
 
+	/**
+	 * Returns the first bytes that were received behind the message that was passed on
+	 * last.
+	 * @return the bytes as text, empty if there are none, never null
+	 */
+	String textBehind() {
+		int count = Math.min(MAX_TEXT_BYTES, actualReadableBytes());
+		if (count == 0) {
+			return "";
+		}
+		ByteBuf bytes = internalBuffer();
+		return bytes.toString(bytes.readerIndex(), count, StandardCharsets.ISO_8859_1);
+	}
+
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
 		this.isHeadIncomplete = true;
--- a/forward/src/main/java/org/celeryhill/forward/ResponseHeads.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseHeads.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -38,6 +39,38 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns whether a body holds the head of a response to the request that it answers.
+	 * A body that breaks off is filled up with the head that follows it.
+	 * @param body the body or a part of it, not null
+	 * @param textBehind the first bytes behind the body, empty if none are known, not
+	 * null
+	 * @param id the id of the request, not null
+	 * @return whether a status line begins in the body and either the id follows it or
+	 * the head goes on behind the body
+	 */
+	static boolean holdsHead(byte[] body, String textBehind, String id) {
+		if (textBehind.isEmpty() && !mayHoldStatusLine(body)) {
+			return false;
+		}
+		String text = new String(body, StandardCharsets.ISO_8859_1) + textBehind;
+		Matcher matcher = STATUS_LINE.matcher(text);
+		if (!matcher.find() || matcher.start() >= body.length) {
+			return false;
+		}
+		return !textBehind.isEmpty() || text.indexOf(id, matcher.start()) >= 0;
+	}
+
+	private static boolean mayHoldStatusLine(byte[] body) {
+		for (int i = 0; i + 4 < body.length; i++) {
+			if (body[i] == 'H' && body[i + 1] == 'T' && body[i + 2] == 'T' && body[i + 3] == 'P'
+					&& body[i + 4] == '/') {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private static Optional<String> findStatusLine(String value) {
 		if (!value.contains("HTTP/1.")) {
 			return Optional.empty();
