Keep connections after responses that have no body

Cause: a response with status 204 or 304, or to HEAD, without a length counted as one that ends with its connection, which was closed. Change: such a response is complete with its head. Evidence: RepeatedResponseBoundaryTests.responseWithoutBodyKeepsConnection, 3 of 3 cases: 5 connections for 5 requests before, 1 after.

--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -200,7 +200,7 @@
 				return;
 			}
 			this.isKeepAlive = HttpUtil.isKeepAlive(head);
-			this.isDelimitedByClose = !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+			this.isDelimitedByClose = !isDelimited(head);
 			parseKeepAliveTimeout(head);
 			this.exchange.listener().onHead(head);
 		}
@@ -214,6 +214,11 @@
 		}
 	}
 
+	private boolean isDelimited(HttpResponse head) {
+		return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
+				|| this.decoder.isContentAlwaysEmpty(head);
+	}
+
 	// Returns whether a response is that to an earlier request of this connection.
 	private boolean isRepeated(HttpResponse head) {
 		Optional<String> id = this.exchange.listener().requestIdOf(head);
@@ -224,8 +229,7 @@
 		LOG.warn("response_repeated", "server", this.key.owner(), "connection", lastUse(), "status",
 				head.status().code());
 		this.repeatedCount++;
-		boolean isDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-		if (!isDelimited || this.repeatedCount > MAX_REPEATED_RESPONSES) {
+		if (!isDelimited(head) || this.repeatedCount > MAX_REPEATED_RESPONSES) {
 			failExchange("response to an earlier request, not skipped");
 			return;
 		}
