Bound the memory of the ids that a connection has carried

Cause: 64 ids a connection were kept as sent; a caller chooses their length, up to 16 KB. Change: 64-bit hashes. Two ids with the same hash cost a new connection.

--- a/forward/src/main/java/org/celeryhill/forward/CarriedIds.java
+++ b/forward/src/main/java/org/celeryhill/forward/CarriedIds.java
@@ -13,7 +13,12 @@
 	 */
 	private static final int CAPACITY = 64;
 
-	private String[] ids = new String[4];
+	private static final long HASH_SEED = 0xcbf29ce484222325L;
+
+	private static final long HASH_PRIME = 0x100000001b3L;
+
+	/** Hashes, since callers choose how long their ids are. */
+	private long[] hashes = new long[4];
 
 	private int count;
 
@@ -22,10 +27,10 @@
 	 * @param id the id, not null
 	 */
 	void add(String id) {
-		if (this.count >= this.ids.length && this.ids.length < CAPACITY) {
-			this.ids = Arrays.copyOf(this.ids, Math.min(CAPACITY, this.ids.length * 2));
+		if (this.count >= this.hashes.length && this.hashes.length < CAPACITY) {
+			this.hashes = Arrays.copyOf(this.hashes, Math.min(CAPACITY, this.hashes.length * 2));
 		}
-		this.ids[this.count % this.ids.length] = id;
+		this.hashes[this.count % this.hashes.length] = hash(id);
 		this.count++;
 	}
 
@@ -35,13 +40,23 @@
 	 * @return whether it is kept
 	 */
 	boolean contains(String id) {
-		int kept = Math.min(this.count, this.ids.length);
+		long hash = hash(id);
+		int kept = Math.min(this.count, this.hashes.length);
 		for (int i = 0; i < kept; i++) {
-			if (this.ids[i].equals(id)) {
+			if (this.hashes[i] == hash) {
 				return true;
 			}
 		}
 		return false;
 	}
 
+	// FNV-1a, 64 bits.
+	private static long hash(String id) {
+		long hash = HASH_SEED;
+		for (int i = 0; i < id.length(); i++) {
+			hash = (hash ^ id.charAt(i)) * HASH_PRIME;
+		}
+		return hash;
+	}
+
 }
