Keep the store's responses about one table from another table's calls

Cause: all calls to the store shared connections. A repeated response about one table then passed for that about another: the copy of changes of the operator's table, with a newer version, made the feed of backend servers skip its own changes (an engine that drains among them), and a copy of other rows in place of the whole table would have removed all backend servers from it. A call that is relayed for another host uses a new connection too.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -1,5 +1,6 @@
 package org.celeryhill.edge;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
@@ -217,12 +218,13 @@
 
 	private void closeUnusedConnections() {
 		Set<BackendClient.PoolKey> usedPools = new HashSet<>();
-		usedPools.add(new BackendClient.PoolKey(this.settings.storeAddress(), StoreClient.CONNECTION_OWNER));
 		for (ServerEntry entry : this.forwarder.directory().entries()) {
 			usedPools.add(new BackendClient.PoolKey(entry.address(), entry.incarnationId()));
 			usedPools.add(new BackendClient.PoolKey(entry.address(), PlatformEngineClient.connectionOwner(entry)));
 		}
-		this.client.closeIdleConnections((key) -> key.owner().equals("peer") || usedPools.contains(key));
+		InetSocketAddress storeAddress = this.settings.storeAddress();
+		this.client.closeIdleConnections(
+				(key) -> key.owner().equals("peer") || key.address().equals(storeAddress) || usedPools.contains(key));
 		this.front.closeExpiredConnections();
 		this.ready.closeExpiredConnections();
 		this.operationsServer.closeExpiredConnections();
--- a/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
+++ b/edge/src/main/java/org/celeryhill/edge/StoreRelay.java
@@ -99,13 +99,14 @@
 		return attempt.result;
 	}
 
-	// Makes a call to the store for another host. Passes on its response, or an
-	// empty value if there is none.
+	// Makes a call to the store for another host, on a new connection, as this host does
+	// not know what an earlier response would change there. Passes on its response, or
+	// an empty value if there is none.
 	void processRelayedCall(JsonNode body, Consumer<Optional<ObjectNode>> done) {
 		Optional<JsonNode> content = Optional.of(body.path("body")).filter(JsonNode::isObject);
 		JsonHttpClient.Call call = new JsonHttpClient.Call(this.store, StoreClient.CONNECTION_OWNER,
-				ResponseMatching.CONTENT, body.path("method").asText(), body.path("target").asText(), Map.of(), content,
-				Duration.ofMillis(body.path("timeoutMs").asLong()));
+				ResponseMatching.NEW_CONNECTION, body.path("method").asText(), body.path("target").asText(), Map.of(),
+				content, Duration.ofMillis(body.path("timeoutMs").asLong()));
 		this.calls.send(call).whenComplete((reply, failure) -> {
 			LOG.info("store_call_relayed", "target", call.target(), "status",
 					(failure != null) ? failure : reply.status());
