Keep a connection unread while a request of it is handled

Cause: The decoder of the library asks for one more read at the end of each pass in which it decoded nothing, also with auto read off. Since a paused decoder decodes nothing, so that its connection was read on, a part at a time. Change: A paused decoder passes the end of a pass on without a read. Figures: pausedConnectionIsNotReadAfterPassWithoutMessage: 1 read asked for before the change (expected: 0), none after it.

--- a/forward/src/main/java/org/celeryhill/forward/RequestDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/RequestDecoder.java
@@ -72,6 +72,16 @@
 		this.context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
 	}
 
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+		if (this.isPaused) {
+			// The superclass reads on if it has decoded nothing, even without auto read.
+			ctx.fireChannelReadComplete();
+			return;
+		}
+		super.channelReadComplete(ctx);
+	}
+
 	@Override
 	protected void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
 		setWaitingBytes(0);
--- a/forward/src/test/java/org/celeryhill/forward/IngressConnectionTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/IngressConnectionTests.java
@@ -7,6 +7,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -42,6 +44,8 @@
 
 	private IngressServer server;
 
+	private int readCount;
+
 	@BeforeEach
 	void start() {
 		RequestHandler handler = new RequestHandler() {
@@ -59,7 +63,13 @@
 			}
 		};
 		this.server = IngressServer.create(null, handler);
-		this.channel = new EmbeddedChannel();
+		this.channel = new EmbeddedChannel(new ChannelOutboundHandlerAdapter() {
+			@Override
+			public void read(ChannelHandlerContext ctx) {
+				IngressConnectionTests.this.readCount++;
+				ctx.read();
+			}
+		});
 		this.server.initConnection(this.channel);
 	}
 
@@ -154,6 +164,18 @@
 		assertThat(this.handled).containsExactly("/first 1");
 	}
 
+	// Guards against a decoder that reads on by itself because it has decoded nothing.
+	@Test
+	void pausedConnectionIsNotReadAfterPassWithoutMessage() {
+		read(put("/first", "1"));
+		this.channel.pipeline().fireChannelReadComplete();
+		read("x".repeat(MAX_WAITING_BYTES));
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		this.readCount = 0;
+		this.channel.pipeline().fireChannelReadComplete();
+		assertThat(this.readCount).isZero();
+	}
+
 	// Guards against a connection that is not read again after its requests were handled.
 	@Test
 	void connectionIsReadAgainWhenRequestsThatWaitedAreHandled() {
