Handle no further request while its caller does not read

Cause: The next request of a connection was handled as soon as the response before was handed over. Responses up to 64 KB are handed over as a whole, so that a caller that sends requests ahead and does not read held as many of them in direct memory as it had sent requests. Change: The next request is decoded when the connection is writable. Conclusion: The bound in docs/DATA-PATH.md holds for pipelined requests too.

--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -313,9 +313,10 @@
 		return this.unwrittenBody != null || (this.lastWrite != null && !this.lastWrite.isDone());
 	}
 
+	// Waits until the caller has taken the responses before, if there are too many bytes.
 	private void readNextRequest() {
-		this.isNextRequestPending = false;
-		if (this.context.channel().isActive()) {
+		if (this.isNextRequestPending && this.context.channel().isWritable()) {
+			this.isNextRequestPending = false;
 			this.decoder.resume();
 		}
 	}
@@ -376,6 +377,9 @@
 		else if (this.running != null) {
 			this.running.onCallerWritable();
 		}
+		else if (this.isNextRequestPending) {
+			ctx.executor().execute(this::readNextRequest);
+		}
 	}
 
 	@Override
@@ -390,6 +394,7 @@
 		}
 		discardRequest();
 		this.isHandlingRequest = false;
+		this.isNextRequestPending = false;
 		if (activeRequest != null) {
 			activeRequest.onCallerDisconnected();
 		}
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -156,6 +156,11 @@
 		runOnLoop(() -> this.forwarder.addUnwrittenBytes(bytes));
 	}
 
+	// Returns the memory of what callers have sent ahead.
+	long waitingBytes() throws Exception {
+		return callOnLoop(this.front::waitingBytes);
+	}
+
 	boolean isWritingResponses() throws Exception {
 		return callOnLoop(this.front::isWritingResponses);
 	}
--- a/forward/src/test/java/org/celeryhill/forward/IngressConnectionTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/IngressConnectionTests.java
@@ -207,4 +207,24 @@
 		assertThat(this.server.waitingBytes()).isZero();
 	}
 
+	// Guards against responses without limit that wait for a caller who sends requests
+	// and does not read.
+	@Test
+	void nextRequestIsHandledWhenResponsesAreTaken() {
+		read(put("/first", "1") + put("/second", "2"));
+		setWritable(false);
+		respond(0, "for first");
+		this.channel.runPendingTasks();
+		assertThat(this.handled).containsExactly("/first 1");
+		setWritable(true);
+		this.channel.runPendingTasks();
+		respond(1, "for second");
+		assertThat(this.handled).containsExactly("/first 1", "/second 2");
+		assertThat(responses()).containsExactly("for first", "for second");
+	}
+
+	private void setWritable(boolean isWritable) {
+		this.channel.unsafe().outboundBuffer().setUserDefinedWritability(1, isWritable);
+	}
+
 }
--- a/forward/src/test/java/org/celeryhill/forward/PipelinedRequestTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/PipelinedRequestTests.java
@@ -35,6 +35,14 @@
 
 	private static final int SERVERS = 8;
 
+	private static final int UNREAD_RESPONSES = 1500;
+
+	/** Size of a response that is written as a whole. */
+	private static final int UNREAD_BYTES = 60_000;
+
+	/** Limit of what waits on one connection: 64 KB and one read of 64 KB. */
+	private static final long MAX_WAITING_BYTES = 2 * 65_536;
+
 	/** Limit of the bodies of all callers. */
 	private static final long MAX_BUFFERED_BYTES = 64L << 20;
 
@@ -76,6 +84,10 @@
 		if (request.line().startsWith("GET /many/held")) {
 			awaitPermission();
 		}
+		if (request.line().startsWith("GET /many/long")) {
+			connection.respond(request, 200, "signed: s\r\n", "x".repeat(UNREAD_BYTES));
+			return;
+		}
 		String body = request.body();
 		String repeated = body.isEmpty() ? "" : body.substring(0, 1);
 		boolean isUniform = body.equals(repeated.repeat(body.length()));
@@ -128,7 +140,7 @@
 
 	// Calls on connections of their own until the other callers can send no more. Returns
 	// the largest increase of direct memory.
-	private long callWhileHeld() throws IOException {
+	private long callWhileHeld() throws Exception {
 		long before = directMemoryBytes();
 		long largest = 0;
 		long sent = 0;
@@ -137,6 +149,7 @@
 			String response = this.fixture.sendAndReadAll(ForwardFixture.getRequest("/many/x", "sound" + i));
 			assertThat(response).startsWith("HTTP/1.1 200").endsWith("<sound" + i + " 0  true>");
 			largest = Math.max(largest, directMemoryBytes() - before);
+			assertThat(this.fixture.waitingBytes()).isLessThanOrEqualTo(CALLERS * MAX_WAITING_BYTES);
 			if (this.sentRequests.get() > sent) {
 				sent = this.sentRequests.get();
 				progressNanos = System.nanoTime();
@@ -169,4 +182,35 @@
 		assertThat(directMemory).isLessThan(MAX_BUFFERED_BYTES);
 	}
 
+	// Guards against responses that use up the memory, each too short to be written in
+	// parts, when a caller sends requests ahead and does not read.
+	@Test
+	void requestsThatWaitAreNotHandledWhileCallerDoesNotRead() throws Exception {
+		long before = directMemoryBytes();
+		try (ForwardFixture.RawCaller caller = this.fixture.connectWithSmallBuffer()) {
+			String request = keepAlive(ForwardFixture.getRequest("/many/long", "x"));
+			caller.send(request.repeat(UNREAD_RESPONSES));
+			awaitNoFurtherRequests();
+			long directMemory = directMemoryBytes() - before;
+			for (int i = 0; i < UNREAD_RESPONSES; i++) {
+				assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 200");
+				assertThat(caller.input().readNBytes(UNREAD_BYTES)).hasSize(UNREAD_BYTES);
+			}
+			assertThat(directMemory).isLessThan(MAX_BUFFERED_BYTES);
+		}
+	}
+
+	private void awaitNoFurtherRequests() throws InterruptedException {
+		long progressNanos = System.nanoTime();
+		int count = 0;
+		while (System.nanoTime() - progressNanos < STALL_NANOS) {
+			int next = this.servers.stream().mapToInt((server) -> server.receivedRequests().size()).sum();
+			if (next > count) {
+				count = next;
+				progressNanos = System.nanoTime();
+			}
+			Thread.sleep(10);
+		}
+	}
+
 }
