Enforce the limit on the time of a request's head

Cause: IngressLimits.headerTimeout was read from the configuration and used nowhere. A head was cut by the idle timeout only, counted from the end of the response before: a caller that sends a byte now and then kept its connection for that long, and a head that began late on an idle connection was cut although it was within its limit. Change: The decoder knows when the first byte of a head was read. CallerWait says what a connection waits for and which limit holds for it: a head has the header timeout, from its first byte to its last, and not the idle timeout. The limit on a body, the idle timeout and 0.5 s from the end of the head on, stays; it is one on total time already and had no test. caller_stalled is logged for heads and bodies too.

--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -36,9 +36,6 @@
 	/** Size of the parts in which a long response is handed to the connection. */
 	private static final int MAX_PART_BYTES = 65_536;
 
-	/** Time added to the idle timeout for a request whose body is incomplete. */
-	private static final long BODY_TIMEOUT_SLACK_NANOS = IngressServer.millisToNanos(500);
-
 	private final IngressServer server;
 
 	private final RequestHandler handler;
@@ -340,28 +337,36 @@
 	}
 
 	void closeIfExpired(long now) {
-		IngressLimits limits = this.handler.limits();
-		if (isResponseUnwritten()) {
-			closeIfStalled(now - this.idleSinceNanos - limits.idleTimeout().toNanos());
+		CallerWait wait = currentWait();
+		boolean isTooLong = wait.isTooLong(now - waitStartNanos(wait), this.handler.limits());
+		if (!isTooLong) {
 			return;
 		}
+		if (wait != CallerWait.REQUEST) {
+			LOG.warn("caller_stalled", "caller", this.context.channel().remoteAddress(), "waited_for", wait);
+		}
+		this.context.close();
+	}
+
+	private CallerWait currentWait() {
+		if (isResponseUnwritten()) {
+			return CallerWait.RESPONSE_TAKEN;
+		}
 		if (this.isHandlingRequest) {
-			return;
+			return CallerWait.NOTHING;
 		}
-		boolean isIdleTooLong = this.currentRequest == null
-				&& now - this.idleSinceNanos > limits.idleTimeout().toNanos();
-		boolean isBodyTooSlow = this.currentRequest != null
-				&& now - this.headersReceivedNanos > limits.idleTimeout().toNanos() + BODY_TIMEOUT_SLACK_NANOS;
-		if (isIdleTooLong || isBodyTooSlow) {
-			this.context.close();
+		if (this.currentRequest != null) {
+			return CallerWait.BODY;
 		}
+		return this.decoder.isReadingHead() ? CallerWait.HEAD : CallerWait.REQUEST;
 	}
 
-	private void closeIfStalled(long overdueNanos) {
-		if (overdueNanos > 0) {
-			LOG.warn("caller_stalled", "caller", this.context.channel().remoteAddress());
-			this.context.close();
-		}
+	private long waitStartNanos(CallerWait wait) {
+		return switch (wait) {
+			case HEAD -> this.decoder.headStartNanos();
+			case BODY -> this.headersReceivedNanos;
+			default -> this.idleSinceNanos;
+		};
 	}
 
 	@Override
--- a/forward/src/main/java/org/celeryhill/forward/IngressServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressServer.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -173,8 +172,8 @@
 	}
 
 	/**
-	 * Closes connections that are idle for longer than the idle timeout, and those whose
-	 * request body is not complete within that time plus 0.5 s.
+	 * Closes connections whose callers exceed the limits on time: of a head, of a body, of
+	 * the time between two requests, or of that in which nothing of a response is taken.
 	 */
 	public void closeExpiredConnections() {
 		long now = System.nanoTime();
@@ -193,8 +192,4 @@
 		}
 	}
 
-	static long millisToNanos(long millis) {
-		return TimeUnit.MILLISECONDS.toNanos(millis);
-	}
-
 }
--- a/forward/src/main/java/org/celeryhill/forward/RequestDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/RequestDecoder.java
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes the requests of a caller's connection one at a time. While it is paused, what
@@ -25,6 +27,12 @@
 
 	private boolean isPaused;
 
+	private boolean isReadingHead;
+
+	private boolean isReadingBody;
+
+	private long headStartNanos;
+
 	/** Memory of the bytes that wait, as counted at the server. */
 	private int waitingBytes;
 
@@ -44,7 +52,36 @@
 			keepWaiting(buffer);
 			return;
 		}
+		if (!this.isReadingHead && !this.isReadingBody && hasStart(buffer)) {
+			this.isReadingHead = true;
+			this.headStartNanos = System.nanoTime();
+		}
 		super.decode(ctx, buffer, out);
+		out.forEach(this::recordDecoded);
+	}
+
+	// Empty lines before a request are ignored by the superclass.
+	private static boolean hasStart(ByteBuf buffer) {
+		return buffer.forEachByte((value) -> Character.isISOControl(value) || Character.isWhitespace(value)) >= 0;
+	}
+
+	private void recordDecoded(Object message) {
+		if (message instanceof HttpRequest) {
+			this.isReadingHead = false;
+			this.isReadingBody = true;
+		}
+		if (message instanceof LastHttpContent) {
+			this.isReadingBody = false;
+		}
+	}
+
+	// Returns whether some but not all of a head has been decoded.
+	boolean isReadingHead() {
+		return this.isReadingHead;
+	}
+
+	long headStartNanos() {
+		return this.headStartNanos;
 	}
 
 	private void keepWaiting(ByteBuf buffer) {
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -38,6 +39,8 @@
 
 	static final ModelId MODEL = ModelId.of("m1");
 
+	private static final long EXPIRY_PERIOD_MS = 20;
+
 	private static final int SMALL_BUFFER_BYTES = 16_384;
 
 	private static final DataCentre DATA_CENTRE = DataCentre.of("here");
@@ -73,6 +76,10 @@
 	}
 
 	ForwardFixture configure(Duration timeout) throws Exception {
+		return configure(timeout, IngressLimits.DEFAULTS);
+	}
+
+	ForwardFixture configure(Duration timeout, IngressLimits limits) throws Exception {
 		EngineProfile engine = new EngineProfile(8, 100_000, 2, 1_000, 4, 1, List.of(new EngineProfile.Model(MODEL, 10,
 				2, 1, Duration.ofSeconds(1), Duration.ofSeconds(1), Duration.ofSeconds(1))));
 		List<ServiceProfile> services = List.of(new ServiceProfile(PLAIN_SERVICE, 10, Optional.empty()),
@@ -81,7 +88,7 @@
 				route("/many/", Route.Kind.IDEMPOTENT, PLAIN_SERVICE, timeout, false, 2),
 				route("/resumable/", Route.Kind.STREAM, ENGINE_SERVICE, timeout, true, 2),
 				route("/stream/", Route.Kind.STREAM, ENGINE_SERVICE, timeout, false, 1));
-		callOnLoop(() -> this.forwarder.apply(RoutingTable.of(1, routes, services, IngressLimits.DEFAULTS)));
+		callOnLoop(() -> this.forwarder.apply(RoutingTable.of(1, routes, services, limits)));
 		return this;
 	}
 
@@ -173,6 +180,37 @@
 		runOnLoop(this.front::closeIdleConnections);
 	}
 
+	// Closes expired connections from now on, as the daemon does.
+	void startClosingExpiredConnections() throws Exception {
+		runOnLoop(() -> PeriodicTask.start(this.loop, "close_connections", EXPIRY_PERIOD_MS,
+				this.front::closeExpiredConnections));
+	}
+
+	// Stops the event loop for some time. Then closes expired connections twice before
+	// anything is read, like periodic tasks that are behind.
+	void freeze(Duration time, Runnable onStopped) throws Exception {
+		runOnLoop(() -> {
+			onStopped.run();
+			try {
+				Thread.sleep(time.toMillis());
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			this.front.closeExpiredConnections();
+			this.front.closeExpiredConnections();
+		});
+	}
+
+	// Lets the event loop read what has arrived before.
+	void awaitReadOfSentBytes() throws Exception {
+		for (int i = 0; i < 3; i++) {
+			CountDownLatch isRun = new CountDownLatch(1);
+			schedule(EXPIRY_PERIOD_MS, isRun::countDown);
+			isRun.await();
+		}
+	}
+
 	void stopAccepting() throws Exception {
 		runOnLoop(this.forwarder::stopAccepting);
 	}
