Close no connection before what its caller sent in time is read

Cause: After a pause of the process, the periodic check of connections can run before their sockets are read, also twice in a row, as the task is behind. An idle connection or one with half a head was closed then, although its caller had sent the rest in time. Change: A connection is closed by a second check that finds its time exceeded, 0.25 s or more after the first. Figures: requestThatWasSentDuringPauseIsAnswered, pause of 1.2 s with limits of 0.3 s: "<end>" instead of "HTTP/1.1 200" before the change, 200 on both connections after it.

--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -42,6 +42,8 @@
 
 	private final RequestDecoder decoder;
 
+	private final ExpiryCheck expiryCheck = new ExpiryCheck();
+
 	private ChannelHandlerContext context;
 
 	private HttpRequest currentRequest;
@@ -339,7 +341,7 @@
 	void closeIfExpired(long now) {
 		CallerWait wait = currentWait();
 		boolean isTooLong = wait.isTooLong(now - waitStartNanos(wait), this.handler.limits());
-		if (!isTooLong) {
+		if (!this.expiryCheck.isConfirmed(isTooLong, now)) {
 			return;
 		}
 		if (wait != CallerWait.REQUEST) {
--- a/forward/src/main/java/org/celeryhill/forward/IngressServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressServer.java
@@ -172,8 +172,10 @@
 	}
 
 	/**
-	 * Closes connections whose callers exceed the limits on time: of a head, of a body, of
-	 * the time between two requests, or of that in which nothing of a response is taken.
+	 * Closes connections whose callers exceed the limits on time: of a head, of a body,
+	 * of the time between two requests, or of that in which nothing of a response is
+	 * taken. To be called periodically; a connection is closed by the second call that
+	 * finds its time exceeded, 0.25 s or more after the first.
 	 */
 	public void closeExpiredConnections() {
 		long now = System.nanoTime();
--- a/forward/src/test/java/org/celeryhill/forward/SlowRequestTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/SlowRequestTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -175,4 +176,39 @@
 		}
 	}
 
+	// Guards against sound callers that are cut because this process was paused, before
+	// it has read what they had sent in time.
+	@Test
+	void requestThatWasSentDuringPauseIsAnswered() throws Exception {
+		configure(SHORT_TIME, SHORT_TIME);
+		String request = keepAlive(ForwardFixture.getRequest("/many/x", "r"));
+		try (ForwardFixture.RawCaller idle = this.fixture.connect();
+				ForwardFixture.RawCaller inHead = this.fixture.connect()) {
+			idle.send(request);
+			assertThat(idle.readUntil("ok")).startsWith("HTTP/1.1 200");
+			inHead.send(request);
+			assertThat(inHead.readUntil("ok")).startsWith("HTTP/1.1 200");
+			inHead.send(request.substring(0, 20));
+			this.fixture.awaitReadOfSentBytes();
+			CountDownLatch isPaused = new CountDownLatch(1);
+			CompletableFuture<Void> pause = CompletableFuture.runAsync(() -> freeze(isPaused));
+			isPaused.await();
+			idle.send(request);
+			inHead.send(request.substring(20));
+			pause.get();
+			this.fixture.startClosingExpiredConnections();
+			assertThat(idle.readUntil("ok")).startsWith("HTTP/1.1 200");
+			assertThat(inHead.readUntil("ok")).startsWith("HTTP/1.1 200");
+		}
+	}
+
+	private void freeze(CountDownLatch isPaused) {
+		try {
+			this.fixture.freeze(SHORT_TIME.multipliedBy(4), isPaused::countDown);
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 }
