--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -36,15 +36,14 @@
 	/** Size of the parts in which a long response is handed to the connection. */
 	private static final int MAX_PART_BYTES = 65_536;
 
-	/** Time added to the idle timeout for a request whose body is incomplete. */
-	private static final long BODY_TIMEOUT_SLACK_NANOS = IngressServer.millisToNanos(500);
-
 	private final IngressServer server;
 
 	private final RequestHandler handler;
 
 	private final RequestDecoder decoder;
 
+	private final ExpiryCheck expiryCheck = new ExpiryCheck();
+
 	private ChannelHandlerContext context;
 
 	private HttpRequest currentRequest;
@@ -313,9 +312,10 @@
 		return this.unwrittenBody != null || (this.lastWrite != null && !this.lastWrite.isDone());
 	}
 
+	// Waits until the caller has taken the responses before, if there are too many bytes.
 	private void readNextRequest() {
-		this.isNextRequestPending = false;
-		if (this.context.channel().isActive()) {
+		if (this.isNextRequestPending && this.context.channel().isWritable()) {
+			this.isNextRequestPending = false;
 			this.decoder.resume();
 		}
 	}
@@ -339,28 +339,36 @@
 	}
 
 	void closeIfExpired(long now) {
-		IngressLimits limits = this.handler.limits();
-		if (isResponseUnwritten()) {
-			closeIfStalled(now - this.idleSinceNanos - limits.idleTimeout().toNanos());
+		CallerWait wait = currentWait();
+		boolean isTooLong = wait.isTooLong(now - waitStartNanos(wait), this.handler.limits());
+		if (!this.expiryCheck.isConfirmed(isTooLong, now)) {
 			return;
 		}
+		if (wait != CallerWait.REQUEST) {
+			LOG.warn("caller_stalled", "caller", this.context.channel().remoteAddress(), "waited_for", wait);
+		}
+		this.context.close();
+	}
+
+	private CallerWait currentWait() {
+		if (isResponseUnwritten()) {
+			return CallerWait.RESPONSE_TAKEN;
+		}
 		if (this.isHandlingRequest) {
-			return;
+			return CallerWait.NOTHING;
 		}
-		boolean isIdleTooLong = this.currentRequest == null
-				&& now - this.idleSinceNanos > limits.idleTimeout().toNanos();
-		boolean isBodyTooSlow = this.currentRequest != null
-				&& now - this.headersReceivedNanos > limits.idleTimeout().toNanos() + BODY_TIMEOUT_SLACK_NANOS;
-		if (isIdleTooLong || isBodyTooSlow) {
-			this.context.close();
+		if (this.currentRequest != null) {
+			return CallerWait.BODY;
 		}
+		return this.decoder.isReadingHead() ? CallerWait.HEAD : CallerWait.REQUEST;
 	}
 
-	private void closeIfStalled(long overdueNanos) {
-		if (overdueNanos > 0) {
-			LOG.warn("caller_stalled", "caller", this.context.channel().remoteAddress());
-			this.context.close();
-		}
+	private long waitStartNanos(CallerWait wait) {
+		return switch (wait) {
+			case HEAD -> this.decoder.headStartNanos();
+			case BODY -> this.headersReceivedNanos;
+			default -> this.idleSinceNanos;
+		};
 	}
 
 	@Override
@@ -376,6 +384,9 @@
 		else if (this.running != null) {
 			this.running.onCallerWritable();
 		}
+		else if (this.isNextRequestPending) {
+			ctx.executor().execute(this::readNextRequest);
+		}
 	}
 
 	@Override
@@ -390,6 +401,7 @@
 		}
 		discardRequest();
 		this.isHandlingRequest = false;
+		this.isNextRequestPending = false;
 		if (activeRequest != null) {
 			activeRequest.onCallerDisconnected();
 		}
--- a/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/celeryhill/forward/ForwardFixture.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -38,6 +39,8 @@
 
 	static final ModelId MODEL = ModelId.of("m1");
 
+	private static final long EXPIRY_PERIOD_MS = 20;
+
 	private static final int SMALL_BUFFER_BYTES = 16_384;
 
 	private static final DataCentre DATA_CENTRE = DataCentre.of("here");
@@ -160,6 +163,11 @@
 		runOnLoop(() -> this.forwarder.addUnwrittenBytes(bytes));
 	}
 
+	// Returns the memory of what callers have sent ahead.
+	long waitingBytes() throws Exception {
+		return callOnLoop(this.front::waitingBytes);
+	}
+
 	boolean isWritingResponses() throws Exception {
 		return callOnLoop(this.front::isWritingResponses);
 	}
@@ -172,6 +180,37 @@
 		runOnLoop(this.front::closeIdleConnections);
 	}
 
+	// Closes expired connections from now on, as the daemon does.
+	void startClosingExpiredConnections() throws Exception {
+		runOnLoop(() -> PeriodicTask.start(this.loop, "close_connections", EXPIRY_PERIOD_MS,
+				this.front::closeExpiredConnections));
+	}
+
+	// Stops the event loop for some time. Then closes expired connections twice before
+	// anything is read, like periodic tasks that are behind.
+	void freeze(Duration time, Runnable onStopped) throws Exception {
+		runOnLoop(() -> {
+			onStopped.run();
+			try {
+				Thread.sleep(time.toMillis());
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			this.front.closeExpiredConnections();
+			this.front.closeExpiredConnections();
+		});
+	}
+
+	// Lets the event loop read what has arrived before.
+	void awaitReadOfSentBytes() throws Exception {
+		for (int i = 0; i < 3; i++) {
+			CountDownLatch isRun = new CountDownLatch(1);
+			schedule(EXPIRY_PERIOD_MS, isRun::countDown);
+			isRun.await();
+		}
+	}
+
 	void stopAccepting() throws Exception {
 		runOnLoop(this.forwarder::stopAccepting);
 	}
