--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -165,8 +165,9 @@
 		}
 	}
 
+	// What the decoder still holds after the reset is not logged.
 	private void logUnexpectedResponse(Object message) {
-		if (message instanceof HttpResponse head) {
+		if (message instanceof HttpResponse head && this.context.channel().isActive()) {
 			LOG.warn("response_unexpected", "server", this.key.owner(), "connection", lastUse(), "status",
 					head.status().code(), "valid", head.decoderResult().isSuccess());
 		}
--- a/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.time.Duration;
 
+import org.celeryhill.base.KnownRedCondition;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -17,6 +19,7 @@
  * that end with their connection.
  */
 @Timeout(30)
+@ExtendWith(KnownRedCondition.class)
 class ResponseWithoutLengthTests {
 
 	/**
@@ -105,6 +108,21 @@
 		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
 	}
 
+	// Guards against the same where the whole request fits into the buffers of the
+	// connection: nothing is left to be written that would meet the reset.
+	@Test
+	void closeWithUnreadRequestBodyInBuffersIsNoEnd() throws Exception {
+		try (ScriptedServer server = ScriptedServer.createForHeads((request, connection) -> {
+			startResponse(request, connection, 200, PART);
+			connection.socket().close();
+		})) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			String body = LONG_BODY.substring(0, IngressLimits.DEFAULTS.maxBodyBytes());
+			String response = this.fixture.sendAndReadAll(ForwardFixture.postRequest("/once/x", "r1", body));
+			assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+		}
+	}
+
 	// Guards against a stream that ends as if it were complete, when its engine is killed
 	// between two events while the body of the request is being written.
 	@ParameterizedTest
