--- a/forward/src/test/java/org/celeryhill/forward/SlowRequestTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/SlowRequestTests.java
@@ -25,6 +25,9 @@
 
 	private static final int SOUND_CALLS = 50;
 
+	/** More than the buffers of the system take. */
+	private static final int LONG_BYTES = 12_000_000;
+
 	/** Longer than a test, so that nothing else closes a connection. */
 	private static final Duration LONG_TIME = Duration.ofMinutes(5);
 
@@ -44,8 +47,10 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.fixture = new ForwardFixture();
-		this.server = new ScriptedServer(
-				(request, connection) -> connection.respond(request, 200, "signed: s\r\n", "ok"));
+		this.server = new ScriptedServer((request, connection) -> {
+			boolean isLong = request.line().startsWith("GET /many/long");
+			connection.respond(request, 200, "signed: s\r\n", isLong ? "x".repeat(LONG_BYTES) : "ok");
+		});
 	}
 
 	@AfterEach
@@ -160,6 +165,42 @@
 		}
 	}
 
+	// Guards against connections without requests that are kept for ever.
+	@Test
+	void connectionsWithoutRequestsAreClosed() throws Exception {
+		configure(LONG_TIME, SHORT_TIME);
+		this.fixture.startClosingExpiredConnections();
+		try (ForwardFixture.RawCaller unused = this.fixture.connect();
+				ForwardFixture.RawCaller used = this.fixture.connect()) {
+			used.send(keepAlive(ForwardFixture.getRequest("/many/x", "r")));
+			assertThat(used.readAll()).startsWith("HTTP/1.1 200").endsWith("ok");
+			assertThat(unused.readAll()).isEmpty();
+		}
+	}
+
+	// Guards against a response that is kept for ever for a caller that takes nothing.
+	@Test
+	void connectionOfCallerThatTakesNothingIsClosed() throws Exception {
+		configure(LONG_TIME, SHORT_TIME);
+		this.fixture.startClosingExpiredConnections();
+		try (ForwardFixture.RawCaller caller = this.fixture.connectWithSmallBuffer()) {
+			caller.send(ForwardFixture.getRequest("/many/long", "r"));
+			long end = System.nanoTime() + CLOSE_TIME_NANOS;
+			while (this.server.receivedRequests().isEmpty() && System.nanoTime() < end) {
+				pause(10);
+			}
+			while (isResponseKept() && System.nanoTime() < end) {
+				pause(10);
+			}
+			assertThat(isResponseKept()).isFalse();
+			assertThat(this.fixture.bufferedBytes()).isZero();
+		}
+	}
+
+	private boolean isResponseKept() throws Exception {
+		return this.fixture.activeCount() > 0 || this.fixture.isWritingResponses();
+	}
+
 	// Guards against a head that is cut because its connection was idle before it.
 	@Test
 	void headMayTakeItsTimeOnConnectionThatWasIdle() throws Exception {
