--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -33,9 +33,6 @@
 
 	private static final EventLog LOG = EventLog.of(IngressConnection.class);
 
-	/** Size of the parts in which a long response is handed to the connection. */
-	private static final int MAX_PART_BYTES = 65_536;
-
 	private final IngressServer server;
 
 	private final RequestHandler handler;
@@ -69,9 +66,7 @@
 	private boolean isStreamStarted;
 
 	/** Body of a long response that is not yet handed over as a whole, else null. */
-	private ByteBuf unwrittenBody;
-
-	private boolean isWritingBody;
+	private LongResponseBody longBody;
 
 	private ChannelFuture lastWrite;
 
@@ -216,38 +211,30 @@
 		}
 		HttpHeaders copy = headers.copy().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
 		setConnectionHeader(copy);
-		if (content.readableBytes() <= MAX_PART_BYTES) {
+		if (!LongResponseBody.isLong(content)) {
 			finishResponse(this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content,
 					copy, EmptyHttpHeaders.INSTANCE)));
 			return;
 		}
 		this.running = null;
-		this.unwrittenBody = content;
-		this.handler.addUnwrittenBytes(content.writerIndex());
+		this.longBody = new LongResponseBody(this.context, this.handler, content);
 		this.context.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, copy));
-		writeBody();
+		writeLongBody();
 	}
 
-	// Hands as much of a long body to the connection as it takes. The rest stays on the
-	// heap, as the connection copies what it is given to direct memory.
-	private void writeBody() {
-		this.isWritingBody = true;
-		while (this.unwrittenBody.isReadable() && this.context.channel().isWritable()) {
-			int count = Math.min(MAX_PART_BYTES, this.unwrittenBody.readableBytes());
+	private void writeLongBody() {
+		if (this.longBody.write()) {
 			this.idleSinceNanos = System.nanoTime();
-			this.context.writeAndFlush(new DefaultHttpContent(this.unwrittenBody.readRetainedSlice(count)));
 		}
-		this.isWritingBody = false;
-		if (!this.unwrittenBody.isReadable()) {
-			releaseUnwrittenBody();
+		if (this.longBody.remainingBytes() == 0) {
+			releaseLongBody();
 			finishResponse(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
 		}
 	}
 
-	private void releaseUnwrittenBody() {
-		this.handler.addUnwrittenBytes(-this.unwrittenBody.writerIndex());
-		this.unwrittenBody.release();
-		this.unwrittenBody = null;
+	private void releaseLongBody() {
+		this.longBody.release();
+		this.longBody = null;
 	}
 
 	@Override
@@ -309,7 +296,7 @@
 
 	// Returns whether a response was handed over whose last byte is not yet written.
 	boolean isResponseUnwritten() {
-		return this.unwrittenBody != null || (this.lastWrite != null && !this.lastWrite.isDone());
+		return this.longBody != null || (this.lastWrite != null && !this.lastWrite.isDone());
 	}
 
 	// Waits until the caller has taken the responses before, if there are too many bytes.
@@ -376,9 +363,9 @@
 		if (!ctx.channel().isWritable()) {
 			return;
 		}
-		if (this.unwrittenBody != null) {
-			if (!this.isWritingBody) {
-				writeBody();
+		if (this.longBody != null) {
+			if (!this.longBody.isWriting()) {
+				writeLongBody();
 			}
 		}
 		else if (this.running != null) {
@@ -394,10 +381,10 @@
 		this.server.removeConnection(this);
 		RequestHandler.ActiveRequest activeRequest = this.running;
 		this.running = null;
-		if (this.unwrittenBody != null) {
+		if (this.longBody != null) {
 			LOG.warn("response_not_delivered", "caller", ctx.channel().remoteAddress(), "left",
-					this.unwrittenBody.readableBytes());
-			releaseUnwrittenBody();
+					this.longBody.remainingBytes());
+			releaseLongBody();
 		}
 		discardRequest();
 		this.isHandlingRequest = false;
