Split the relay of a stream and the body of a response from the attempt

Cause: ForwardAttempt had grown to 558 lines and held three jobs: the life of an attempt, the relay of a stream's events and the body that is kept or passed on. Change: StreamRelay splits, counts and joins the events of a stream; ResponseBody holds the body in memory or passes it on. ForwardAttempt keeps start, head, end, failure, detachment and the decisions about them. Behaviour and public API stay as they are.

--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -1,21 +1,16 @@
 package org.celeryhill.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.BackendServerId;
@@ -38,22 +33,15 @@
 
 	private static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
 
-	/**
-	 * Time from the first event of a stream after which its request is not the cause if
-	 * the engine process ends.
-	 */
-	private static final long RUN_CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	/** Difference between the priorities of adjacent priority classes at an engine. */
 	private static final int ENGINE_PRIORITY_STEP = 3;
 
-	/** Size from which on events are written without waiting for more. */
-	private static final int MAX_JOINED_BYTES = 65_536;
-
 	private final ForwardCall call;
 
 	final AttemptId id;
 
+	private final ResponseBody body;
+
 	ServerEntry server;
 
 	BackendClient.Exchange exchange;
@@ -62,24 +50,11 @@
 
 	private ResponseMetadata responseMetadata;
 
-	private ByteBuf body;
-
-	private EventSplitter eventSplitter;
-
-	/** Complete events that are not yet written to the caller. */
-	private final ByteArrayOutputStream unwrittenEvents = new ByteArrayOutputStream();
-
-	private int tokensPerEvent;
-
-	private long firstEventNanos;
-
-	private boolean hasEvent;
+	/** Relays the response if it is a stream to pass on, else null. */
+	private StreamRelay streamRelay;
 
 	private long startNanos;
 
-	/** The response if it is passed on to the caller before it is complete, else null. */
-	private PassedResponse passedResponse;
-
 	private boolean isServedRecorded;
 
 	private boolean isFinished;
@@ -89,6 +64,7 @@
 	ForwardAttempt(ForwardCall call, AttemptId id) {
 		this.call = call;
 		this.id = id;
+		this.body = new ResponseBody(this, call.channel, call.forwarder.responseBuffers());
 	}
 
 	String serverId() {
@@ -170,8 +146,7 @@
 		observeServer();
 		boolean isStream = this.call.route.kind() == Route.Kind.STREAM && isSuccess();
 		if (isStream && this.responseMetadata.isSigned() && !this.isDetached) {
-			this.eventSplitter = new EventSplitter();
-			this.tokensPerEvent = tokensPerEvent();
+			this.streamRelay = new StreamRelay(this, this.call, response);
 		}
 	}
 
@@ -205,59 +180,56 @@
 		if (this.isDetached || this.isFinished) {
 			return;
 		}
-		if (this.eventSplitter != null) {
+		if (this.streamRelay != null) {
 			relayEvents(bytes);
-			return;
 		}
-		if (this.passedResponse != null) {
+		else if (this.body.isPassedOn()) {
 			passOn(bytes);
-			return;
 		}
-		if (this.body == null) {
-			this.body = Unpooled.buffer(bytes.readableBytes());
+		else {
+			this.body.keep(bytes).ifPresent(ForwardAttempt::reduceMemory);
 		}
-		int count = bytes.readableBytes();
-		this.body.writeBytes(bytes);
-		this.call.forwarder.responseBuffers().add(this, count).ifPresent(ForwardAttempt::reduceMemory);
 	}
 
 	// Keeps the response in memory no longer: it is passed on as it arrives, or given up.
 	private void reduceMemory() {
 		if (this.isDetached) {
-			this.call.forwarder.responseBuffers().remove(this);
-			this.body = null;
+			this.body.dropKept();
 			return;
 		}
-		if (ResponseBuffers.isTooLong(this.body.readableBytes()) || !isSuccess() || !isDeliverable()) {
+		if (ResponseBuffers.isTooLong(this.body.keptSize()) || !isSuccess() || !isDeliverable()) {
 			abortExchange("response is too long");
 			return;
 		}
 		LOG.info("response_passed_on", "request", this.call.key, "attempt", this.id, "server", serverId(), "bytes",
-				this.body.readableBytes());
-		this.call.forwarder.responseBuffers().remove(this);
-		this.call.isStreaming = true;
-		this.call.channel.startStream(this.response.status(), HopByHopHeaders.copyEndToEnd(this.response.headers()));
-		this.passedResponse = new PassedResponse(this.call.channel, this.call.forwarder.responseBuffers());
-		ByteBuf arrived = this.body;
-		this.body = null;
-		passOn(arrived);
+				this.body.keptSize());
+		startStream();
+		passOn(this.body.startPassing());
 	}
 
 	private void passOn(ByteBuf bytes) {
-		if (ResponseBuffers.isTooLong(this.passedResponse.add(bytes))) {
+		if (this.body.addPassed(bytes)) {
 			abortExchange("response is too long");
 			return;
 		}
-		this.exchange.setReading(this.passedResponse.write());
+		this.exchange.setReading(this.body.writePassed());
+	}
+
+	/**
+	 * Sends the head of the response to the caller, ahead of its body.
+	 */
+	void startStream() {
+		this.call.isStreaming = true;
+		this.call.channel.startStream(this.response.status(), HopByHopHeaders.copyEndToEnd(this.response.headers()));
 	}
 
 	// Goes on with a response that was paused because the caller was slow.
 	void resume() {
-		if (this.passedResponse == null) {
+		if (!this.body.isPassedOn()) {
 			this.exchange.setReading(true);
 			return;
 		}
-		boolean isWritten = this.passedResponse.write();
+		boolean isWritten = this.body.writePassed();
 		if (this.isFinished) {
 			endPassedResponse();
 		}
@@ -267,54 +239,20 @@
 	}
 
 	boolean isPassedOn() {
-		return this.passedResponse != null;
+		return this.body.isPassedOn();
 	}
 
 	// Returns whether the caller took bytes of the response since the last call.
 	boolean hasCallerProgressed() {
-		return this.passedResponse.hasProgressed();
+		return this.body.hasCallerProgressed();
 	}
 
 	private void relayEvents(ByteBuf bytes) {
-		List<EventSplitter.Event> completeEvents;
-		try {
-			completeEvents = this.eventSplitter.add(bytes);
-		}
-		catch (IllegalStateException ex) {
-			abortExchange(ex.getMessage());
-			return;
-		}
-		if (!completeEvents.isEmpty()) {
-			relayCompleteEvents(completeEvents);
-		}
-	}
-
-	private void relayCompleteEvents(List<EventSplitter.Event> events) {
-		if (!this.call.isStreaming) {
-			this.call.isStreaming = true;
-			this.call.channel.startStream(this.response.status(),
-					HopByHopHeaders.copyEndToEnd(this.response.headers()));
-			handleFirstEvent();
+		Optional<String> fault = this.streamRelay.add(bytes);
+		if (fault.isPresent()) {
+			abortExchange(fault.get());
 		}
-		if (!this.hasEvent) {
-			this.hasEvent = true;
-			this.firstEventNanos = System.nanoTime();
-		}
-		else if (!this.isServedRecorded && isRunConfirmed()) {
-			recordServed();
-		}
-		for (EventSplitter.Event event : events) {
-			if (holdsOwnResponse(event.bytes(), "")) {
-				abortExchange("stream holds a second copy of the response");
-				return;
-			}
-			this.call.eventCount++;
-			if (event.id().isPresent()) {
-				this.call.lastEventId = event.id();
-			}
-			this.unwrittenEvents.writeBytes(event.bytes());
-		}
-		if (this.unwrittenEvents.size() >= MAX_JOINED_BYTES) {
+		else if (this.streamRelay.isWriteDue()) {
 			writeEvents();
 		}
 	}
@@ -324,39 +262,13 @@
 		writeEvents();
 	}
 
-	// Passes on the events that arrived together with a single write, so that many small
-	// ones cost little more than a long one.
+	// Writes the events that arrived together, and pauses reading if the caller is slow.
 	private void writeEvents() {
-		if (this.unwrittenEvents.size() == 0) {
-			return;
-		}
-		byte[] bytes = this.unwrittenEvents.toByteArray();
-		this.unwrittenEvents.reset();
-		this.call.forwarder.traffic().progress(this.id, this.call.eventCount * this.tokensPerEvent, System.nanoTime());
-		if (!this.call.channel.write(bytes)) {
+		if (this.streamRelay != null && !this.streamRelay.write()) {
 			this.exchange.setReading(false);
 		}
 	}
 
-	private int tokensPerEvent() {
-		return this.call.forwarder.table()
-			.flatMap((table) -> table.service(this.call.service))
-			.flatMap(ServiceProfile::engine)
-			.map(EngineProfile::tokensPerEvent)
-			.orElse(1);
-	}
-
-	private void handleFirstEvent() {
-		long waitedNanos = System.nanoTime() - this.call.incoming.arrivedNanos();
-		this.call.forwarder.metrics().recordFirstEvent(waitedNanos / 1e9);
-		if (waitedNanos > this.call.route.targetLatency().toNanos()) {
-			this.call.reportLateRequest();
-		}
-		this.call.request.model()
-			.ifPresent((model) -> this.call.forwarder.recordCachedPrefix(this.server.id(), model,
-					this.call.prefixBlockHashes));
-	}
-
 	@Override
 	public void onEnd() {
 		writeEvents();
@@ -367,17 +279,17 @@
 		if (this.responseMetadata.isNotExecuted()) {
 			retryNotExecuted();
 		}
-		else if (this.eventSplitter != null) {
+		else if (this.streamRelay != null) {
 			endStream();
 		}
-		else if (this.passedResponse != null) {
+		else if (this.body.isPassedOn()) {
 			finish(AttemptOutcome.COMPLETED);
 			endPassedResponse();
 		}
 		else if (this.call.isStreaming) {
 			handleFailureAfterSend("stream not continued: status " + this.response.status().code());
 		}
-		else if (this.body != null && holdsOwnResponse(ByteBufUtil.getBytes(this.body), this.exchange.textBehind())) {
+		else if (this.body.holdsHead(this.exchange.textBehind(), this.call.requestMetadata.id().orElseThrow())) {
 			abortExchange("body holds a second copy of the response");
 		}
 		else if (isSuccess() && !isDeliverable()) {
@@ -388,12 +300,6 @@
 		}
 	}
 
-	// Returns whether a part of the response has broken off and is followed by the head
-	// of the same response, sent once more.
-	private boolean holdsOwnResponse(byte[] bytes, String textBehind) {
-		return ResponseHeads.holdsHead(bytes, textBehind, this.call.requestMetadata.id().orElseThrow());
-	}
-
 	// Returns whether the response is one of a backend server in a form that the caller
 	// asked for.
 	private boolean isDeliverable() {
@@ -401,7 +307,7 @@
 	}
 
 	private void endPassedResponse() {
-		if (!this.passedResponse.isWritten() || this.call.isEnded()) {
+		if (!this.body.isPassedWritten() || this.call.isEnded()) {
 			return;
 		}
 		recordServed();
@@ -421,26 +327,16 @@
 	}
 
 	private void endStream() {
-		if (this.eventSplitter.hasIncompleteEvent() || !mayEndStream()) {
+		if (!this.streamRelay.mayEnd()) {
 			abortExchange("stream ended within an event or without any");
 			return;
 		}
-		if (!this.isServedRecorded) {
-			recordServed();
-		}
+		recordServed();
 		finish(AttemptOutcome.COMPLETED);
 		this.call.finish(this.response.status().code(), "complete");
 		this.call.channel.endStream();
 	}
 
-	// Returns whether the stream can be complete with this response. A response without
-	// events is the end of a continued stream only if its own end is certain.
-	private boolean mayEndStream() {
-		boolean isEndMarked = HttpUtil.isContentLengthSet(this.response)
-				|| HttpUtil.isTransferEncodingChunked(this.response);
-		return this.hasEvent || (this.call.eventCount > 0 && isEndMarked);
-	}
-
 	private void forwardResponse() {
 		if (isSuccess()) {
 			recordServed();
@@ -448,7 +344,6 @@
 		finish(AttemptOutcome.COMPLETED);
 		this.call.executionCount++;
 		this.call.mayHaveRun = true;
-		ByteBuf bytes = (this.body != null) ? this.body : Unpooled.EMPTY_BUFFER;
 		HttpHeaders headers = HopByHopHeaders.copyEndToEnd(this.response.headers());
 		int status = this.response.status().code();
 		boolean isNotExecutedStatus = status == 429 || status == 503 || status == 408 || status == 421;
@@ -459,7 +354,7 @@
 			return;
 		}
 		this.call.finish(status, "complete");
-		this.call.channel.respond(this.response.status(), headers, bytes);
+		this.call.channel.respond(this.response.status(), headers, this.body.keptBytes());
 	}
 
 	@Override
@@ -481,15 +376,18 @@
 		handleFailureAfterSend(detail);
 	}
 
-	private void recordServed() {
-		this.isServedRecorded = true;
-		this.call.forwarder.promptGuard().recordServed(this.call.traits, this.startNanos);
+	/**
+	 * Records once that the engine process has survived the request.
+	 */
+	void recordServed() {
+		if (!this.isServedRecorded) {
+			this.isServedRecorded = true;
+			this.call.forwarder.promptGuard().recordServed(this.call.traits, this.startNanos);
+		}
 	}
 
-	// Returns whether the engine has worked on the response for so long that the request
-	// cannot be the cause if the process ends.
 	private boolean isRunConfirmed() {
-		return this.hasEvent && System.nanoTime() - this.firstEventNanos > RUN_CONFIRMATION_NANOS;
+		return this.streamRelay != null && this.streamRelay.isRunConfirmed();
 	}
 
 	private void abortExchange(String detail) {
@@ -517,9 +415,7 @@
 	}
 
 	void cancel() {
-		if (this.passedResponse != null) {
-			this.passedResponse.release();
-		}
+		this.body.releasePassed();
 		if (this.exchange != null && !this.isFinished) {
 			this.exchange.cancel();
 		}
@@ -529,7 +425,7 @@
 	void finish(AttemptOutcome outcome) {
 		if (!this.isFinished) {
 			this.isFinished = true;
-			this.call.forwarder.responseBuffers().remove(this);
+			this.body.stopCounting();
 			this.call.forwarder.traffic().finish(this.id, outcome, System.nanoTime());
 			this.call.forwarder.scheduleDispatch();
 		}
@@ -538,9 +434,7 @@
 	// Lets the request run to its end or to the deadline, without a caller.
 	void detach() {
 		this.isDetached = true;
-		if (this.passedResponse != null) {
-			this.passedResponse.release();
-		}
+		this.body.releasePassed();
 		this.exchange.setReading(true);
 		cancelAtDeadline();
 	}
