Split keep-alive time and repeated responses from the connection

Cause: BackendConnection also parsed the keep-alive time and kept track of repeated responses, and one method handled all kinds of messages. Change: KeepAliveTime holds how long an idle connection is reusable; RepeatedResponses holds the carried ids and skips responses to earlier requests. handleMessage is cut into a function for heads and one for content. Behaviour and public API stay as they are. BackendClient.Exchange stays nested: it is public, and the platform module names it.

--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -25,11 +24,6 @@
 
 	private static final EventLog LOG = EventLog.of(BackendConnection.class);
 
-	/** Fraction of the announced keep-alive time for which a connection is reusable. */
-	private static final double KEEP_ALIVE_FRACTION = 0.5;
-
-	private static final long DEFAULT_KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(4);
-
 	/** Interim responses of one exchange after which the server is given up. */
 	private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -44,9 +38,6 @@
 	 */
 	private static final long REPEATED_RESPONSE_WAIT_MS = 50;
 
-	/** Repeated responses in one exchange after which the server is given up. */
-	private static final int MAX_REPEATED_RESPONSES = 16;
-
 	private static final int MAX_HEAD_BYTES = 65_536;
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
@@ -60,7 +51,9 @@
 
 	private final long number;
 
-	private final CarriedIds carriedIds = new CarriedIds();
+	private final KeepAliveTime keepAliveTime = new KeepAliveTime();
+
+	private final RepeatedResponses repeatedResponses = new RepeatedResponses();
 
 	private int useCount;
 
@@ -79,18 +72,10 @@
 
 	private int interimCount;
 
-	private int repeatedCount;
-
-	private boolean isSkippingResponse;
-
 	private boolean isDelimitedByClose;
 
 	private boolean isResetAwaited;
 
-	private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
-
-	private long idleSinceNanos;
-
 	BackendConnection(BackendClient client, BackendClient.PoolKey key, long number) {
 		this.client = client;
 		this.key = key;
@@ -117,7 +102,7 @@
 
 	// Returns whether this connection has carried a request with the id of the exchange.
 	boolean hasCarried(BackendClient.Exchange next) {
-		return next.id().filter(this.carriedIds::contains).isPresent();
+		return this.repeatedResponses.hasCarried(next.id());
 	}
 
 	boolean isWaitingForResponse() {
@@ -125,17 +110,14 @@
 	}
 
 	boolean isReusable(long now, long maxIdleNanos) {
-		long idleNanos = now - this.idleSinceNanos;
-		return this.context.channel().isActive() && idleNanos < this.keepAliveNanos && idleNanos < maxIdleNanos;
+		return this.context.channel().isActive() && this.keepAliveTime.isReusable(now, maxIdleNanos);
 	}
 
 	void startExchange(BackendClient.Exchange next) {
 		this.exchange = next;
 		this.isDelimitedByClose = false;
 		this.interimCount = 0;
-		this.repeatedCount = 0;
-		this.isSkippingResponse = false;
-		next.id().ifPresent(this.carriedIds::add);
+		this.repeatedResponses.startExchange(next.id());
 		this.decoder.expectResponseTo(next.method());
 		this.writeFuture = this.context.writeAndFlush(next.startWrite(this.context.channel()));
 	}
@@ -178,40 +160,53 @@
 			failExchange("response is not valid HTTP: " + message.decoderResult().cause());
 			return;
 		}
-		if (this.isSkippingResponse) {
-			this.isSkippingResponse = !(message instanceof LastHttpContent);
+		if (this.repeatedResponses.skip(message)) {
 			return;
 		}
-		if (message instanceof HttpResponse head) {
-			Optional<String> embedded = ResponseHeads.findEmbeddedStatusLine(head);
-			if (embedded.isPresent()) {
-				failMixedHead(head, embedded.get());
-				return;
-			}
-			this.isInformational = head.status().code() / 100 == 1;
-			if (this.isInformational) {
-				this.interimCount++;
-				if (this.interimCount > MAX_INTERIM_RESPONSES) {
-					failExchange("too many interim responses");
-				}
-				return;
-			}
-			if (isRepeated(head)) {
-				startSkippingResponse(ctx, head);
-				return;
-			}
-			this.isKeepAlive = HttpUtil.isKeepAlive(head);
-			this.isDelimitedByClose = !isDelimited(head);
-			parseKeepAliveTimeout(head);
-			this.exchange.listener().onHead(head);
+		if (message instanceof HttpResponse head && !handleHead(ctx, head)) {
+			return;
 		}
 		if (message instanceof HttpContent content && !this.isInformational && !this.exchange.isEnded()) {
-			if (content.content().isReadable()) {
-				this.exchange.listener().onBody(content.content());
-			}
-			if (message instanceof LastHttpContent && !this.exchange.isEnded()) {
-				endExchange(ctx);
-			}
+			handleContent(ctx, content);
+		}
+	}
+
+	// Returns whether the head is that of the final response to the exchange.
+	private boolean handleHead(ChannelHandlerContext ctx, HttpResponse head) {
+		Optional<String> embedded = ResponseHeads.findEmbeddedStatusLine(head);
+		if (embedded.isPresent()) {
+			failMixedHead(head, embedded.get());
+			return false;
+		}
+		this.isInformational = head.status().code() / 100 == 1;
+		if (this.isInformational) {
+			countInterimResponse();
+			return false;
+		}
+		if (this.repeatedResponses.isRepeated(this.exchange.listener().requestIdOf(head))) {
+			startSkippingResponse(ctx, head);
+			return false;
+		}
+		this.isKeepAlive = HttpUtil.isKeepAlive(head);
+		this.isDelimitedByClose = !isDelimited(head);
+		this.keepAliveTime.update(head);
+		this.exchange.listener().onHead(head);
+		return true;
+	}
+
+	private void countInterimResponse() {
+		this.interimCount++;
+		if (this.interimCount > MAX_INTERIM_RESPONSES) {
+			failExchange("too many interim responses");
+		}
+	}
+
+	private void handleContent(ChannelHandlerContext ctx, HttpContent content) {
+		if (content.content().isReadable()) {
+			this.exchange.listener().onBody(content.content());
+		}
+		if (content instanceof LastHttpContent && !this.exchange.isEnded()) {
+			endExchange(ctx);
 		}
 	}
 
@@ -220,29 +215,21 @@
 				|| this.decoder.isContentAlwaysEmpty(head);
 	}
 
-	// Returns whether a response is that to an earlier request of this connection.
-	private boolean isRepeated(HttpResponse head) {
-		Optional<String> id = this.exchange.listener().requestIdOf(head);
-		return id.filter(this.carriedIds::contains).isPresent() && !id.equals(this.exchange.id());
-	}
-
 	private void startSkippingResponse(ChannelHandlerContext ctx, HttpResponse head) {
 		LOG.warn("response_repeated", "server", this.key.owner(), "connection", lastUse(), "status",
 				head.status().code());
-		this.repeatedCount++;
-		if (!isDelimited(head) || this.repeatedCount > MAX_REPEATED_RESPONSES) {
+		if (!this.repeatedResponses.startSkipping(isDelimited(head))) {
 			failExchange("response to an earlier request, not skipped");
 			return;
 		}
-		this.isSkippingResponse = true;
 		BackendClient.Exchange current = this.exchange;
-		int number = this.repeatedCount;
+		int responseNumber = this.repeatedResponses.count();
 		ctx.executor()
-			.schedule(() -> failIfSkipping(current, number), REPEATED_RESPONSE_WAIT_MS, TimeUnit.MILLISECONDS);
+			.schedule(() -> failIfSkipping(current, responseNumber), REPEATED_RESPONSE_WAIT_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void failIfSkipping(BackendClient.Exchange current, int number) {
-		if (this.exchange == current && this.isSkippingResponse && this.repeatedCount == number) {
+	private void failIfSkipping(BackendClient.Exchange current, int responseNumber) {
+		if (this.exchange == current && this.repeatedResponses.isSkipping(responseNumber)) {
 			failExchange("response to an earlier request is not whole");
 		}
 	}
@@ -253,18 +240,6 @@
 		failExchange("head holds the status line of another response");
 	}
 
-	private void parseKeepAliveTimeout(HttpResponse head) {
-		String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
-		int timeoutIndex = (value != null) ? value.indexOf("timeout=") : -1;
-		if (timeoutIndex < 0) {
-			return;
-		}
-		String digits = value.substring(timeoutIndex + "timeout=".length()).split("[^0-9]", 2)[0];
-		if (!digits.isEmpty() && digits.length() < 6) {
-			this.keepAliveNanos = (long) (KEEP_ALIVE_FRACTION * TimeUnit.SECONDS.toNanos(Long.parseLong(digits)));
-		}
-	}
-
 	// The decoder ends a response that is delimited by the end of the connection whenever
 	// the channel ends. The channel is still active if the server has ended the
 	// connection regularly, and no longer if it failed, as when a write met a reset.
@@ -305,7 +280,7 @@
 	private void completeExchange(ChannelHandlerContext ctx) {
 		BackendClient.Exchange completedExchange = this.exchange;
 		this.exchange = null;
-		this.idleSinceNanos = System.nanoTime();
+		this.keepAliveTime.startIdle();
 		// Another request must not be sent before the body of this one is written.
 		this.isReturnDue = this.isKeepAlive && !this.isDelimitedByClose && this.writeFuture.isSuccess()
 				&& ctx.channel().isActive();
