Measure what oddly answering servers cost the others

What repeated and broken responses cost was only seen in runs by hand. Change: bin/measure odd-servers runs callers, the real data path of one host and backend servers on loopback, with a stated share of odd answers, and prints the figures of each share side by side, as a Markdown table and an SVG picture.

--- a/measure/src/main/java/org/celeryhill/measure/MeasureCommand.java
+++ b/measure/src/main/java/org/celeryhill/measure/MeasureCommand.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import org.celeryhill.measure.oddserver.OddServersCommand;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
@@ -17,10 +18,11 @@
 import picocli.CommandLine.Spec;
 
 /**
- * Command line that runs simulations and benchmarks. Not thread-safe.
+ * Command line that runs simulations, benchmarks and load profiles. Not thread-safe.
  */
-@Command(name = "measure", description = "Measures traffic and placement decisions in virtual time.",
-		mixinStandardHelpOptions = true)
+@Command(name = "measure",
+		description = "Measures traffic and placement decisions in virtual time, and the data path in real time.",
+		subcommands = OddServersCommand.class, mixinStandardHelpOptions = true)
 public final class MeasureCommand {
 
 	/**
