--- a/measure/src/main/java/org/celeryhill/measure/oddserver/LoadProfile.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/LoadProfile.java
@@ -38,6 +38,12 @@
 		kinds = List.copyOf(kinds);
 	}
 
+	LoadProfile withSeed(long newSeed) {
+		return new LoadProfile(newSeed, this.duration, this.servers, this.oddServers, this.slots, this.callers,
+				this.thinkTime, this.workTime, this.bodyBytes, this.kinds, this.failShare, this.refuseShare,
+				this.resetShare, this.suspicionTime);
+	}
+
 	LoadProfile withDuration(Duration newDuration) {
 		return new LoadProfile(this.seed, newDuration, this.servers, this.oddServers, this.slots, this.callers,
 				this.thinkTime, this.workTime, this.bodyBytes, this.kinds, this.failShare, this.refuseShare,
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/OddServersCommand.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/OddServersCommand.java
@@ -43,25 +43,33 @@
 			checks.findings().forEach(this.spec.commandLine().getErr()::println);
 			return SettingsChecks.EXIT_STATUS;
 		}
-		List<ShareFigures> sweep = runSweep();
+		Sweep sweep = runSweep();
 		write(sweep);
-		return sweep.stream().anyMatch(ShareFigures::isViolated) ? VIOLATED : 0;
+		return sweep.isViolated() ? VIOLATED : 0;
 	}
 
-	private List<ShareFigures> runSweep() {
+	private Sweep runSweep() {
 		LoadProfile profile = this.options.toProfile();
 		WireFormat format = WireFormat.load();
 		if (!this.options.warmUp().isZero()) {
 			new ShareRun(profile.withDuration(this.options.warmUp()), 0, format).run();
 		}
-		List<ShareFigures> sweep = new ArrayList<>();
+		List<List<ShareFigures>> rounds = new ArrayList<>();
+		for (int i = 0; i < this.options.rounds(); i++) {
+			rounds.add(runRound(profile.withSeed(profile.seed() + i), format));
+		}
+		return new Sweep(rounds);
+	}
+
+	private List<ShareFigures> runRound(LoadProfile profile, WireFormat format) {
+		List<ShareFigures> round = new ArrayList<>();
 		for (double share : this.options.shares()) {
-			sweep.add(new ShareRun(profile, share, format).run());
+			round.add(new ShareRun(profile, share, format).run());
 		}
-		return sweep;
+		return round;
 	}
 
-	private void write(List<ShareFigures> sweep) throws IOException {
+	private void write(Sweep sweep) throws IOException {
 		String table = SweepTable.format(sweep);
 		PrintWriter out = this.spec.commandLine().getOut();
 		out.print(table);
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/OddServersOptions.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/OddServersOptions.java
@@ -25,10 +25,14 @@
 	@Option(names = "--seconds", defaultValue = "10", description = "Length of the run of each share in s.")
 	private double seconds;
 
-	@Option(names = "--warm-up-seconds", defaultValue = "3",
+	@Option(names = "--warm-up-seconds", defaultValue = "8",
 			description = "Length of a run without odd answers before them in s.")
 	private double warmUpSeconds;
 
+	@Option(names = "--rounds", defaultValue = "1",
+			description = "Number of times that all shares are run, each with the next seed.")
+	private int rounds;
+
 	@Option(names = "--servers", defaultValue = "3", description = "Number of backend servers.")
 	private int servers;
 
@@ -45,7 +49,7 @@
 			description = "Time from an answer to the next request of a caller in ms.")
 	private double thinkMillis;
 
-	@Option(names = "--work-ms", defaultValue = "4",
+	@Option(names = "--work-ms", defaultValue = "10",
 			description = "Mean time from a request to the answer of a server in ms.")
 	private double workMillis;
 
@@ -89,6 +93,7 @@
 		SettingsChecks checks = SettingsChecks.create()
 			.requireRange("--seconds", this.seconds, 0.1, 600)
 			.requireRange("--warm-up-seconds", this.warmUpSeconds, 0, 60)
+			.requireRange("--rounds", this.rounds, 1, 100)
 			.requireRange("--servers", this.servers, 1, 100)
 			.requireRange("--odd-servers", this.oddServers, -1, this.servers)
 			.requireRange("--slots", this.slots, 1, 1000)
@@ -158,6 +163,10 @@
 		return this.share.map(List::of).orElse(this.sweep);
 	}
 
+	int rounds() {
+		return this.rounds;
+	}
+
 	Duration warmUp() {
 		return seconds(this.warmUpSeconds);
 	}
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/SweepPicture.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/SweepPicture.java
@@ -1,8 +1,7 @@
 package org.celeryhill.measure.oddserver;
 
-import java.util.List;
 import java.util.Locale;
-import java.util.function.ToDoubleFunction;
+import java.util.function.IntToDoubleFunction;
 
 /**
  * Draws the work done and the share of 502 of a sweep as SVG, over the share of odd
@@ -22,18 +21,18 @@
 
 	private final StringBuilder text = new StringBuilder();
 
-	private final List<ShareFigures> sweep;
+	private final Sweep sweep;
 
-	private SweepPicture(List<ShareFigures> sweep) {
-		this.sweep = List.copyOf(sweep);
+	private SweepPicture(Sweep sweep) {
+		this.sweep = sweep;
 	}
 
 	/**
 	 * Draws a sweep.
-	 * @param sweep the figures of each share
+	 * @param sweep the figures
 	 * @return the picture as an SVG document
 	 */
-	static String draw(List<ShareFigures> sweep) {
+	static String draw(Sweep sweep) {
 		return new SweepPicture(sweep).draw();
 	}
 
@@ -42,10 +41,10 @@
 				+ " font-size=\"12\">", WIDTH, HEIGHT);
 		add("<rect width=\"%d\" height=\"%d\" fill=\"white\"/>", WIDTH, HEIGHT);
 		addGrid();
-		double first = this.sweep.get(0).ownPerSecond();
 		addLine("own answers, relative to the first share (in 100)", "#1f5fa8", 0,
-				(run) -> PERCENT * run.ownPerSecond() / first);
-		addLine("502 in 100 requests", "#b8321f", 1, (run) -> run.percent(Answer.BAD_GATEWAY));
+				(index) -> PERCENT * this.sweep.relativeOwn(index));
+		addLine("502 in 100 requests", "#b8321f", 1,
+				(index) -> this.sweep.median(index, (run) -> run.percent(Answer.BAD_GATEWAY)));
 		add("</svg>");
 		return this.text.toString();
 	}
@@ -59,15 +58,15 @@
 		}
 		for (int i = 0; i < this.sweep.size(); i++) {
 			add("<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>", x(i), HEIGHT - MARGIN + 18,
-					String.format(Locale.ROOT, "%.4g", this.sweep.get(i).share()).replaceAll("\\.?0+$", ""));
+					String.format(Locale.ROOT, "%.4g", this.sweep.share(i)).replaceAll("\\.?0+$", ""));
 		}
 		add("<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">odd answers in 100</text>", WIDTH / 2, HEIGHT - 10);
 	}
 
-	private void addLine(String label, String colour, int row, ToDoubleFunction<ShareFigures> value) {
+	private void addLine(String label, String colour, int row, IntToDoubleFunction value) {
 		StringBuilder points = new StringBuilder();
 		for (int i = 0; i < this.sweep.size(); i++) {
-			double y = y(value.applyAsDouble(this.sweep.get(i)));
+			double y = y(value.applyAsDouble(i));
 			points.append(String.format(Locale.ROOT, "%.1f,%.1f ", x(i), y));
 			add("<circle cx=\"%.1f\" cy=\"%.1f\" r=\"3\" fill=\"%s\"/>", x(i), y, colour);
 		}
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/SweepTable.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/SweepTable.java
@@ -1,100 +1,101 @@
 package org.celeryhill.measure.oddserver;
 
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeSet;
 import java.util.function.Function;
+import java.util.function.IntFunction;
 import java.util.function.ToDoubleFunction;
 
 /**
- * Writes the figures of a sweep side by side as a Markdown table.
+ * Writes the figures of a sweep side by side as a Markdown table: medians of the rounds,
+ * sums of violations.
  */
 final class SweepTable {
 
 	private static final double PERCENT = 100;
 
-	private final List<ShareFigures> sweep;
+	private final Sweep sweep;
 
 	private final StringBuilder text = new StringBuilder();
 
-	private SweepTable(List<ShareFigures> sweep) {
-		this.sweep = List.copyOf(sweep);
+	private SweepTable(Sweep sweep) {
+		this.sweep = sweep;
 	}
 
 	/**
 	 * Formats the figures.
-	 * @param sweep the figures of each share; the first one is what the others are
-	 * related to
+	 * @param sweep the figures
 	 * @return the table with a line end
 	 */
-	static String format(List<ShareFigures> sweep) {
+	static String format(Sweep sweep) {
 		return new SweepTable(sweep).format();
 	}
 
 	private String format() {
-		addRow("odd answers in 100", (run) -> number(run.share(), 1));
+		addRow("odd answers in 100", (index) -> number(this.sweep.share(index), 1));
 		this.text.append("| --- |").append(" --- |".repeat(this.sweep.size())).append('\n');
 		addAnswers();
-		addLabels("ends in 1000: ", ShareFigures::failedEnds);
+		addCounts("ends in 1000: ", ShareFigures::failedEnds);
 		addConnections();
-		addLabels("attempts failed in 1000: ", ShareFigures::failedAttempts);
+		addCounts("attempts failed in 1000: ", ShareFigures::failedAttempts);
 		addTimes();
-		addLabels("violations: ", ShareFigures::violations);
-		addRow("load average", (run) -> number(run.loadAverage(), 1));
+		addViolations();
+		addMedians("load average", ShareFigures::loadAverage);
 		return this.text.toString();
 	}
 
 	private void addAnswers() {
-		double first = this.sweep.get(0).ownPerSecond();
-		addRow("requests", (run) -> Long.toString(run.requests()));
-		addRow("own answers a second", (run) -> number(run.ownPerSecond(), 1));
-		addRow("own answers, relative to the first share", (run) -> number(run.ownPerSecond() / first, 3));
-		addRow("latency of own answers p50 / p99 (ms)",
-				(run) -> number(run.latencyP50(), 1) + " / " + number(run.latencyP99(), 1));
-		addNumbers("own answers in 100", (run) -> run.percent(Answer.OWN));
-		addNumbers("502 in 100", (run) -> run.percent(Answer.BAD_GATEWAY));
-		addNumbers("503 in 100", (run) -> run.percent(Answer.NOT_RUN));
-		addNumbers("504 in 100", (run) -> run.percent(Answer.TIMEOUT));
-		addNumbers("broken streams in 100", (run) -> run.percent(Answer.BROKEN_STREAM));
+		addMedians("requests", ShareFigures::requests);
+		addMedians("own answers a second", ShareFigures::ownPerSecond);
+		addRow("own answers, relative to the first share", (index) -> number(this.sweep.relativeOwn(index), 3));
+		addMedians("latency of own answers p50 (ms)", ShareFigures::latencyP50);
+		addMedians("latency of own answers p99 (ms)", ShareFigures::latencyP99);
+		addMedians("own answers in 100", (run) -> run.percent(Answer.OWN));
+		addMedians("502 in 100", (run) -> run.percent(Answer.BAD_GATEWAY));
+		addMedians("503 in 100", (run) -> run.percent(Answer.NOT_RUN));
+		addMedians("504 in 100", (run) -> run.percent(Answer.TIMEOUT));
+		addMedians("broken streams in 100", (run) -> run.percent(Answer.BROKEN_STREAM));
 	}
 
 	private void addConnections() {
-		addNumbers("odd answers sent in 1000", (run) -> run.perThousand(run.oddAnswers()));
-		addNumbers("new connections in 1000", (run) -> run.perThousand(run.connections()));
-		addNumbers("sends in 1000", (run) -> run.perThousand(run.sends()));
-		addNumbers("second attempts in 1000", (run) -> run.perThousand(run.secondSends()));
-		addNumbers("sends on new connections in 1000", (run) -> run.perThousand(run.sendsOnNewConnections()));
-		addNumbers("sends behind extra bytes in 1000", (run) -> run.perThousand(run.sendsBehindExtraBytes()));
-		addNumbers("unexpected bytes between requests in 1000", (run) -> run.perThousand(run.unexpectedBytes()));
+		addMedians("odd answers sent in 1000", (run) -> run.perThousand(run.oddAnswers()));
+		addMedians("new connections in 1000", (run) -> run.perThousand(run.connections()));
+		addMedians("sends in 1000", (run) -> run.perThousand(run.sends()));
+		addMedians("second attempts in 1000", (run) -> run.perThousand(run.secondSends()));
+		addMedians("sends on new connections in 1000", (run) -> run.perThousand(run.sendsOnNewConnections()));
+		addMedians("sends behind extra bytes in 1000", (run) -> run.perThousand(run.sendsBehindExtraBytes()));
+		addMedians("unexpected bytes between requests in 1000", (run) -> run.perThousand(run.unexpectedBytes()));
 	}
 
 	private void addTimes() {
-		addRow("servers left out, times", (run) -> Long.toString(run.suspicions()));
-		addNumbers("servers left out, time in 100", (run) -> PERCENT * run.leftOut());
-		addNumbers("callers' time waiting for a server in 100", (run) -> PERCENT * run.waited());
-		addNumbers("callers' time waiting for answers in 100", (run) -> PERCENT * run.answering());
+		addMedians("servers left out, times", ShareFigures::suspicions);
+		addMedians("servers left out, time in 100", (run) -> PERCENT * run.leftOut());
+		addMedians("callers' time waiting for a server in 100", (run) -> PERCENT * run.waited());
+		addMedians("callers' time waiting for answers in 100", (run) -> PERCENT * run.answering());
 	}
 
-	private void addNumbers(String label, ToDoubleFunction<ShareFigures> value) {
-		addRow(label, (run) -> number(value.applyAsDouble(run), 1));
+	private void addViolations() {
+		for (String label : this.sweep.labels((run) -> run.violations().keySet())) {
+			addRow("violations: " + label,
+					(index) -> Long.toString(this.sweep.sum(index, (run) -> run.violations().getOrDefault(label, 0L))));
+		}
 	}
 
-	private void addLabels(String prefix, Function<ShareFigures, Map<String, Long>> counts) {
-		boolean isViolations = prefix.startsWith("violations");
-		TreeSet<String> labels = new TreeSet<>();
-		this.sweep.forEach((run) -> labels.addAll(counts.apply(run).keySet()));
-		for (String label : labels) {
-			addRow(prefix + label, (run) -> {
-				long count = counts.apply(run).getOrDefault(label, 0L);
-				return isViolations ? Long.toString(count) : number(run.perThousand(count), 1);
-			});
+	private void addCounts(String prefix, Function<ShareFigures, Map<String, Long>> counts) {
+		for (String label : this.sweep.labels((run) -> counts.apply(run).keySet())) {
+			addMedians(prefix + label, (run) -> run.perThousand(counts.apply(run).getOrDefault(label, 0L)));
 		}
 	}
 
-	private void addRow(String label, Function<ShareFigures, String> cell) {
+	private void addMedians(String label, ToDoubleFunction<ShareFigures> figure) {
+		addRow(label, (index) -> number(this.sweep.median(index, figure), 1));
+	}
+
+	private void addRow(String label, IntFunction<String> cell) {
 		this.text.append("| ").append(label).append(" |");
-		this.sweep.forEach((run) -> this.text.append(' ').append(cell.apply(run)).append(" |"));
+		for (int i = 0; i < this.sweep.size(); i++) {
+			this.text.append(' ').append(cell.apply(i)).append(" |");
+		}
 		this.text.append('\n');
 	}
 
