--- a/measure/src/main/java/org/celeryhill/measure/oddserver/BackendServerConnection.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/BackendServerConnection.java
@@ -30,6 +30,9 @@
 
 	private boolean hasExtraBytes;
 
+	/** Whether a request has been read and not answered. */
+	private boolean isAnswering;
+
 	BackendServerConnection(OddBackendServer server) {
 		this.server = server;
 	}
@@ -59,8 +62,9 @@
 			this.copyBeforeNext = "";
 		}
 		if (this.hasExtraBytes) {
-			this.server.counts().behindExtraBytes.increment();
+			this.server.counts().metExtraBytes.increment();
 		}
+		this.isAnswering = true;
 		ServedExchange started = this.server.accept(this, request);
 		if (started.decision().oddity().map(Oddity::isEarly).orElse(false)) {
 			respond(started);
@@ -71,6 +75,7 @@
 	}
 
 	private void respond(ServedExchange started) {
+		this.isAnswering = false;
 		if (!this.channel.isActive()) {
 			return;
 		}
@@ -96,11 +101,18 @@
 		schedule(delay, () -> {
 			if (this.channel.isActive()) {
 				write(text);
+				countMetBytes();
 				markExtraBytes();
 			}
 		});
 	}
 
+	private void countMetBytes() {
+		if (this.isAnswering && !this.hasExtraBytes) {
+			this.server.counts().metExtraBytes.increment();
+		}
+	}
+
 	void writeBeforeNext(String text) {
 		this.copyBeforeNext = text;
 	}
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/LoadProfile.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/LoadProfile.java
@@ -22,10 +22,12 @@
  * @param resetShare the share of requests whose connection is reset
  * @param suspicionTime the time without requests that the host gives a server after one
  * failure, not null; it doubles with each further one
+ * @param slowStartTime the time over which the host raises the limit of such a server
+ * back to its full value, not null
  */
 record LoadProfile(long seed, Duration duration, int servers, int oddServers, int slots, int callers,
 		Duration thinkTime, Duration workTime, int bodyBytes, List<Oddity> kinds, double failShare, double refuseShare,
-		double resetShare, Duration suspicionTime) {
+		double resetShare, Duration suspicionTime, Duration slowStartTime) {
 
 	/**
 	 * Creates a profile with a copy of the kinds.
@@ -35,19 +37,20 @@
 		Objects.requireNonNull(thinkTime, "thinkTime");
 		Objects.requireNonNull(workTime, "workTime");
 		Objects.requireNonNull(suspicionTime, "suspicionTime");
+		Objects.requireNonNull(slowStartTime, "slowStartTime");
 		kinds = List.copyOf(kinds);
 	}
 
 	LoadProfile withSeed(long newSeed) {
 		return new LoadProfile(newSeed, this.duration, this.servers, this.oddServers, this.slots, this.callers,
 				this.thinkTime, this.workTime, this.bodyBytes, this.kinds, this.failShare, this.refuseShare,
-				this.resetShare, this.suspicionTime);
+				this.resetShare, this.suspicionTime, this.slowStartTime);
 	}
 
 	LoadProfile withDuration(Duration newDuration) {
 		return new LoadProfile(this.seed, newDuration, this.servers, this.oddServers, this.slots, this.callers,
 				this.thinkTime, this.workTime, this.bodyBytes, this.kinds, this.failShare, this.refuseShare,
-				this.resetShare, this.suspicionTime);
+				this.resetShare, this.suspicionTime, this.slowStartTime);
 	}
 
 }
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/LoadedHost.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/LoadedHost.java
@@ -50,8 +50,6 @@
 
 	private static final double RETRY_FRACTION = 0.1;
 
-	private static final Duration SLOW_START_TIME = Duration.ofSeconds(2);
-
 	private static final long HOUSEKEEPING_PERIOD_MS = 500;
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -100,7 +98,7 @@
 	private static TrafficTunables tunables(LoadProfile profile) {
 		TrafficTunables defaults = TrafficTunables.DEFAULTS;
 		return new TrafficTunables(defaults.subsetSize(), defaults.queueLimit(), 0, RETRY_FRACTION, 0,
-				defaults.maxPeerAge(), profile.suspicionTime(), SLOW_START_TIME, defaults.adapterLoadTime(),
+				defaults.maxPeerAge(), profile.suspicionTime(), profile.slowStartTime(), defaults.adapterLoadTime(),
 				Duration.ZERO, defaults.decisionLogSize());
 	}
 
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/OddBackendServer.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/OddBackendServer.java
@@ -99,8 +99,8 @@
 
 		final LongAdder connections = new LongAdder();
 
-		/** Requests on connections on which extra bytes had been sent before. */
-		final LongAdder behindExtraBytes = new LongAdder();
+		/** Requests before whose response extra bytes were sent on their connection. */
+		final LongAdder metExtraBytes = new LongAdder();
 
 		private final Map<Outcome, LongAdder> requests = new EnumMap<>(Outcome.class);
 
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/OddServersOptions.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/OddServersOptions.java
@@ -83,6 +83,10 @@
 					+ " it doubles with each further one.")
 	private double suspectMillis;
 
+	@Option(names = "--slow-start-ms", defaultValue = "2000",
+			description = "Time over which the host raises the limit of such a server back to its full value in ms.")
+	private double slowStartMillis;
+
 	@Option(names = "--table", defaultValue = "", description = "File for the table, printed in any case.")
 	private String tableFile;
 
@@ -106,7 +110,8 @@
 			.requireRange("--reset", this.resetShare, 0, MAX_SHARE)
 			.require(this.failShare + this.refuseShare + this.resetShare <= MAX_SHARE, "--reset",
 					"--fail, --refuse and --reset together are above 100")
-			.requireRange("--suspect-ms", this.suspectMillis, 1, 60_000);
+			.requireRange("--suspect-ms", this.suspectMillis, 1, 60_000)
+			.requireRange("--slow-start-ms", this.slowStartMillis, 1, 60_000);
 		checkShares(checks);
 		checkKinds(checks);
 		checkFile(checks, "--table", this.tableFile);
@@ -152,7 +157,8 @@
 		return new LoadProfile(this.seed, seconds(this.seconds), this.servers,
 				(this.oddServers < 0) ? this.servers : this.oddServers, this.slots, this.callers,
 				seconds(this.thinkMillis / 1e3), seconds(this.workMillis / 1e3), this.bodyBytes, oddities,
-				this.failShare, this.refuseShare, this.resetShare, seconds(this.suspectMillis / 1e3));
+				this.failShare, this.refuseShare, this.resetShare, seconds(this.suspectMillis / 1e3),
+				seconds(this.slowStartMillis / 1e3));
 	}
 
 	private static Duration seconds(double seconds) {
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/ShareFigures.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/ShareFigures.java
@@ -17,8 +17,8 @@
  * @param sends the number of requests sent to servers
  * @param secondSends the number of those that were not the first of a request
  * @param sendsOnNewConnections the number of those sent on a new connection
- * @param sendsBehindExtraBytes the number of those that a server read from a connection
- * on which it had sent bytes that belonged to no request
+ * @param sendsWithExtraBytes the number of those before whose response a server sent
+ * bytes on their connection that belonged to no request
  * @param unexpectedBytes how often the host met bytes that belonged to no request
  * @param connections the number of connections that the servers accepted
  * @param oddAnswers the number of odd answers
@@ -33,7 +33,7 @@
  */
 record ShareFigures(double share, double seconds, long requests, Map<Answer, Long> answers, double latencyP50,
 		double latencyP99, Map<String, Long> failedEnds, Map<String, Long> failedAttempts, long sends, long secondSends,
-		long sendsOnNewConnections, long sendsBehindExtraBytes, long unexpectedBytes, long connections, long oddAnswers,
+		long sendsOnNewConnections, long sendsWithExtraBytes, long unexpectedBytes, long connections, long oddAnswers,
 		long suspicions, double leftOut, double waited, double answering, Map<String, Long> violations,
 		double loadAverage) {
 
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/ShareRun.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/ShareRun.java
@@ -37,6 +37,9 @@
 
 	private List<OddBackendServer> servers;
 
+	/** Time until the last answer, which may come after the end of the run. */
+	private double elapsedSeconds;
+
 	ShareRun(LoadProfile profile, double oddShare, WireFormat format) {
 		this.profile = profile;
 		this.oddShare = oddShare;
@@ -85,7 +88,8 @@
 	}
 
 	private void runCallers(MultiThreadIoEventLoopGroup group, InetSocketAddress host) {
-		long endNanos = System.nanoTime() + this.profile.duration().toNanos();
+		long startNanos = System.nanoTime();
+		long endNanos = startNanos + this.profile.duration().toNanos();
 		AnswerCheck check = new AnswerCheck(this.ledger, this.format);
 		List<CompletableFuture<Void>> ends = new ArrayList<>();
 		for (int i = 0; i < this.profile.callers(); i++) {
@@ -93,17 +97,18 @@
 				.start());
 		}
 		CompletableFuture.allOf(ends.toArray(new CompletableFuture<?>[0])).join();
+		this.elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
 	}
 
 	private ShareFigures figures(HostEvents events) {
 		double seconds = this.profile.duration().toNanos() / 1e9;
-		double callerSeconds = seconds * this.profile.callers();
+		double callerSeconds = this.elapsedSeconds * this.profile.callers();
 		return new ShareFigures(this.oddShare, seconds, this.callerFigures.count(), answers(),
 				this.callerFigures.ownLatencyMillis(50), this.callerFigures.ownLatencyMillis(99), events.failedEnds(),
 				events.failedAttempts(), events.sends(), events.secondSends(), events.sendsOnNewConnections(),
-				sum((counts) -> counts.behindExtraBytes.sum()), events.unexpectedBytes(),
+				sum((counts) -> counts.metExtraBytes.sum()), events.unexpectedBytes(),
 				sum((counts) -> counts.connections.sum()), sum(OddBackendServer.Counts::oddAnswers),
-				this.leftOut.suspicionCount(), this.leftOut.seconds() / (seconds * this.profile.servers()),
+				this.leftOut.suspicionCount(), this.leftOut.seconds() / (this.elapsedSeconds * this.profile.servers()),
 				events.waitedSeconds() / callerSeconds, this.callerFigures.answerSeconds() / callerSeconds,
 				violations(), ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
 	}
--- a/measure/src/main/java/org/celeryhill/measure/oddserver/SweepTable.java
+++ b/measure/src/main/java/org/celeryhill/measure/oddserver/SweepTable.java
@@ -63,7 +63,7 @@
 		addMedians("sends in 1000", (run) -> run.perThousand(run.sends()));
 		addMedians("second attempts in 1000", (run) -> run.perThousand(run.secondSends()));
 		addMedians("sends on new connections in 1000", (run) -> run.perThousand(run.sendsOnNewConnections()));
-		addMedians("sends behind extra bytes in 1000", (run) -> run.perThousand(run.sendsBehindExtraBytes()));
+		addMedians("sends that met extra bytes in 1000", (run) -> run.perThousand(run.sendsWithExtraBytes()));
 		addMedians("unexpected bytes between requests in 1000", (run) -> run.perThousand(run.unexpectedBytes()));
 	}
 
--- a/measure/src/test/java/org/celeryhill/measure/oddserver/OddBackendServerTests.java
+++ b/measure/src/test/java/org/celeryhill/measure/oddserver/OddBackendServerTests.java
@@ -27,6 +27,11 @@
 
 	private static final String TARGET = "/many/r1";
 
+	/** Body of the first success of a ledger for the target. */
+	private static final String FIRST_BODY = new RunLedger().start("r1", RouteKind.IDEMPOTENT, Outcome.SUCCESS).body();
+
+	private static final String SECOND_BODY = FIRST_BODY.replace("run=1", "run=2");
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final WireFormat format = WireFormat.load();
@@ -86,32 +91,27 @@
 	void responseIsRepeated(Oddity kind) throws IOException {
 		try (OddBackendServer server = start(Profiles.of(0, 0, 0, kind)); Socket socket = connect(server)) {
 			send(socket, head(TARGET, 0));
-			String text = readUntil(socket, runBodyAfterStart(server), 2);
+			String text = readUntil(socket, FIRST_BODY, 2);
 			assertThat(text.substring(0, text.length() / 2)).isEqualTo(text.substring(text.length() / 2))
 				.startsWith("HTTP/1.1 200");
 			assertThat(server.counts().oddAnswers(kind)).isEqualTo(1);
 			send(socket, head(TARGET, 0));
-			readUntil(socket, runBody(0).replace("run=1", "run=2"), 1);
-			assertThat(server.counts().behindExtraBytes.sum()).isEqualTo(1);
+			readUntil(socket, SECOND_BODY, 1);
+			assertThat(server.counts().metExtraBytes.sum()).isEqualTo(1);
 		}
 	}
 
-	// The first run of a ledger has the number 1.
-	private String runBodyAfterStart(OddBackendServer server) {
-		return new RunLedger().start("r1", RouteKind.IDEMPOTENT, Outcome.SUCCESS).body();
-	}
-
 	/** Guards against a copy that comes before the next request or after its response. */
 	@Test
 	void copyComesBetweenNextRequestAndItsResponse() throws IOException {
 		Oddity kind = Oddity.REPEATED_BEFORE_NEXT;
 		try (OddBackendServer server = start(Profiles.of(0, 0, 0, kind)); Socket socket = connect(server)) {
 			send(socket, head(TARGET, 0));
-			String first = readUntil(socket, runBodyAfterStart(server), 1);
+			String first = readUntil(socket, FIRST_BODY, 1);
 			send(socket, head(TARGET, 0));
-			String second = readUntil(socket, runBodyAfterStart(server).replace("run=1", "run=2"), 1);
+			String second = readUntil(socket, SECOND_BODY, 1);
 			assertThat(second).startsWith(first + "HTTP/1.1 200").contains(runBody(1));
-			assertThat(server.counts().behindExtraBytes.sum()).isEqualTo(1);
+			assertThat(server.counts().metExtraBytes.sum()).isEqualTo(1);
 		}
 	}
 
@@ -140,7 +140,7 @@
 	void earlyResponseComesBeforeBody() throws IOException {
 		try (OddBackendServer server = start(Profiles.of(0, 0, 0, Oddity.EARLY)); Socket socket = connect(server)) {
 			send(socket, head(TARGET, 10));
-			readUntil(socket, runBodyAfterStart(server), 1);
+			readUntil(socket, FIRST_BODY, 1);
 			send(socket, "0123456789" + head(TARGET, 10));
 			assertThat(readUntil(socket, "run=2", 1)).startsWith("HTTP/1.1 200");
 		}
--- a/measure/src/test/java/org/celeryhill/measure/oddserver/OddServersOptionsTests.java
+++ b/measure/src/test/java/org/celeryhill/measure/oddserver/OddServersOptionsTests.java
@@ -42,11 +42,11 @@
 	void eachSettingOutOfRangeHasFinding() {
 		assertThat(flagsWithFindings("--seconds=0", "--warm-up-seconds=-1", "--rounds=0", "--servers=0", "--slots=0",
 				"--callers=0", "--think-ms=-1", "--work-ms=-1", "--body-bytes=-1", "--fail=101", "--refuse=-1",
-				"--reset=NaN", "--suspect-ms=0", "--share=200", "--sweep=0,101", "--kind=closed,other",
-				"--table=/none/t.md", "--picture=/none/p.svg"))
+				"--reset=NaN", "--suspect-ms=0", "--slow-start-ms=0", "--share=200", "--sweep=0,101",
+				"--kind=closed,other", "--table=/none/t.md", "--picture=/none/p.svg"))
 			.contains("--seconds", "--warm-up-seconds", "--rounds", "--servers", "--slots", "--callers", "--think-ms",
-					"--work-ms", "--body-bytes", "--fail", "--refuse", "--reset", "--suspect-ms", "--share", "--sweep",
-					"--kind", "--table", "--picture");
+					"--work-ms", "--body-bytes", "--fail", "--refuse", "--reset", "--suspect-ms", "--slow-start-ms",
+					"--share", "--sweep", "--kind", "--table", "--picture");
 	}
 
 	/** Guards against more odd servers than servers, and shares above 100 together. */
