Add a randomized soak of the edge daemons as separate processes

Change: module soak and bin/soak. It starts edge daemons with the command of deploy/system.toml, the fake of the platform's store and plain servers, injects faults drawn from a seed and checks what callers and servers see.

--- /dev/null
+++ b/soak/src/main/java/org/celeryhill/soak/CutCheck.java
@@ -0,0 +1,47 @@
+package org.celeryhill.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Check of requests that were cut off after they had been passed on to a server. A cut is
+ * excused if the daemon was killed or paused or if a server failed. Requests that were
+ * read but not passed on are not checked. Thread-safe.
+ */
+final class CutCheck {
+
+	private final List<Cut> cuts = new ArrayList<>();
+
+	private final ViolationLog violations;
+
+	CutCheck(ViolationLog violations) {
+		this.violations = violations;
+	}
+
+	synchronized void add(Cut cut) {
+		this.cuts.add(cut);
+	}
+
+	/**
+	 * Checks all cuts, after the last request has ended at its server.
+	 */
+	synchronized void run() {
+		int unplanned = 0;
+		for (Cut cut : this.cuts) {
+			if (isExcused(cut)) {
+				continue;
+			}
+			unplanned += cut.isStopping() ? 0 : 1;
+			if (cut.isStopping() || unplanned > Bounds.UNPLANNED_CUTS) {
+				this.violations.add(Promise.LOST,
+						(cut.isStopping() ? "cut in a planned stop: " : "cut: ") + cut.request().describe());
+			}
+		}
+	}
+
+	private static boolean isExcused(Cut cut) {
+		return !cut.request().hasArrived() || cut.request().isServerUnsound()
+				|| cut.daemon().wasDisturbed(cut.sentNanos(), cut.endNanos());
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/org/celeryhill/soak/Report.java
@@ -0,0 +1,79 @@
+package org.celeryhill.soak;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.celeryhill.base.EventLog;
+
+/**
+ * Prints the result of a soak. Not thread-safe.
+ */
+final class Report {
+
+	/** Violations that are printed in full for each promise. */
+	private static final int MAX_PRINTED = 5;
+
+	private static final int LOG_LINES = 15;
+
+	private final PrintStream out;
+
+	Report(PrintStream out) {
+		this.out = out;
+	}
+
+	void printSummary(SoakSettings settings, SoakResult result) {
+		this.out.println(EventLog.format("soak_result", "seed", settings.seed, "processes", settings.processes,
+				"seconds", Math.round(result.seconds()), "requests", result.requestCount(), "runs", result.runs(),
+				"faults", result.faultCount(), "violations", result.violations().size(), "max_memory_mb",
+				result.maxMemoryKilobytes() / 1000));
+		this.out.println("requests by outcome: " + withDefault(result.requests()));
+		this.out.println("faults by kind: " + sorted(result.faults()));
+		for (Promise promise : Promise.values()) {
+			this.out.println("promise " + promise + ": " + result.violationCount(promise) + " violations");
+		}
+	}
+
+	private static Map<Outcome, Integer> withDefault(Map<Outcome, Integer> counts) {
+		Map<Outcome, Integer> all = new EnumMap<>(Outcome.class);
+		for (Outcome outcome : Outcome.values()) {
+			all.put(outcome, counts.getOrDefault(outcome, 0));
+		}
+		return all;
+	}
+
+	private static Map<FaultKind, Integer> sorted(Map<FaultKind, Integer> counts) {
+		Map<FaultKind, Integer> all = new EnumMap<>(FaultKind.class);
+		all.putAll(counts);
+		return all;
+	}
+
+	/**
+	 * Prints the violations, the schedule and the end of each log.
+	 * @param result the result, not null
+	 * @param schedule the schedule, not null
+	 * @param daemons the daemons, not null
+	 * @throws IOException if a log cannot be read
+	 */
+	void printViolations(SoakResult result, Schedule schedule, List<EdgeProcess> daemons) throws IOException {
+		for (Promise promise : Promise.values()) {
+			result.violations()
+				.stream()
+				.filter((violation) -> violation.promise() == promise)
+				.limit(MAX_PRINTED)
+				.forEach((violation) -> this.out.printf("%8.3f s %s %s%n", violation.seconds(), promise,
+						violation.text()));
+		}
+		this.out.println("schedule, from the first request:");
+		schedule.steps().forEach(this.out::println);
+		for (EdgeProcess daemon : daemons) {
+			this.out.println("end of " + daemon.log() + ":");
+			List<String> lines = Files.readAllLines(daemon.log());
+			lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()).forEach(this.out::println);
+		}
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
@@ -0,0 +1,215 @@
+package org.celeryhill.soak;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+
+import org.celeryhill.soak.ServerBehaviour.Copy;
+import org.celeryhill.soak.ServerBehaviour.Framing;
+import org.celeryhill.soak.ServerBehaviour.Outcome;
+
+/**
+ * Connection of a daemon to a backend server. Serves one request at a time, on the thread
+ * that calls {@link #serve()}; late copies are written by other threads.
+ */
+final class ServerConnection {
+
+	private static final int MISDIRECTED = 421;
+
+	private static final int BAD_REQUEST = 400;
+
+	private final BackendServer server;
+
+	private final Socket socket;
+
+	private final String name;
+
+	private final RequestLedger ledger;
+
+	/** Copy that is sent when the next request has been read, empty for none. */
+	private byte[] pendingCopy = {};
+
+	/** Whether a copy of an earlier response is or may be on the way. */
+	private boolean hasCopies;
+
+	ServerConnection(BackendServer server, Socket socket, String name) {
+		this.server = server;
+		this.socket = socket;
+		this.name = name;
+		this.ledger = server.context().ledger();
+	}
+
+	/**
+	 * Serves requests until the connection ends.
+	 */
+	void serve() {
+		Optional<RequestRecord> current = Optional.empty();
+		try (this.socket) {
+			this.socket.setTcpNoDelay(true);
+			HttpReader reader = new HttpReader(this.socket.getInputStream());
+			for (HttpHead head = reader.readHead(); head != null; head = reader.readHead()) {
+				byte[] body = reader.readBody(head);
+				current = this.ledger.find(head.header(Wire.ATTEMPT_ID));
+				write(this.pendingCopy);
+				this.pendingCopy = new byte[0];
+				if (!respond(head, body)) {
+					return;
+				}
+				current = Optional.empty();
+			}
+		}
+		catch (IOException ex) {
+			// The daemon has closed the connection, or the server has ended.
+			if (!this.server.isRunning()) {
+				current.ifPresent(RequestRecord::setServerUnsound);
+			}
+		}
+	}
+
+	// Returns whether the connection can be used for another request.
+	private boolean respond(HttpHead head, byte[] body) throws IOException {
+		String id = head.header(Wire.ATTEMPT_ID);
+		if (head.target().equals(Wire.HEALTH_PATH)) {
+			write(ResponseWriter.encodeHealth(this.server.id()));
+			return true;
+		}
+		if (id.isEmpty()) {
+			write(ResponseWriter.encodeRefusal(id, BAD_REQUEST));
+			return true;
+		}
+		Optional<RequestRecord> known = this.ledger.find(id);
+		int arrival = known.map(RequestRecord::addArrival).orElse(0);
+		if (!head.header(Wire.EXPECT_INSTANCE).equals(this.server.id())) {
+			addEvent(known, "misdirected to " + this.name);
+			write(ResponseWriter.encodeRefusal(id, MISDIRECTED));
+			return true;
+		}
+		ServerBehaviour behaviour = this.server.drawBehaviour(id, arrival);
+		boolean isSound = behaviour.outcome() == Outcome.RUN || behaviour.outcome() == Outcome.REFUSE;
+		if (!isSound || this.hasCopies) {
+			known.ifPresent(RequestRecord::setServerUnsound);
+		}
+		return switch (behaviour.outcome()) {
+			case REFUSE -> refuse(id, known, behaviour);
+			case RESET_BEFORE_RUN -> {
+				addEvent(known, "reset before a run at " + this.name);
+				yield reset();
+			}
+			default -> run(head, body, behaviour);
+		};
+	}
+
+	private boolean refuse(String id, Optional<RequestRecord> known, ServerBehaviour behaviour) throws IOException {
+		addEvent(known, "refused with " + behaviour.status() + " at " + this.name + ", copy " + behaviour.copy());
+		writeTwice(ResponseWriter.encodeRefusal(id, behaviour.status()), behaviour.copy());
+		return true;
+	}
+
+	private void addEvent(Optional<RequestRecord> known, String event) {
+		known.ifPresent((one) -> one.addEvent(this.server.context().clock().seconds(), event));
+	}
+
+	private boolean run(HttpHead head, byte[] body, ServerBehaviour behaviour) throws IOException {
+		String id = head.header(Wire.ATTEMPT_ID);
+		String signature = this.server.nextSignature();
+		byte[] responseBody = body(id, signature, behaviour.bodyBytes());
+		Run run = new Run(this.name, signature, behaviour.status(), BodyDigest.of(responseBody), behaviour);
+		CallerRequest read = new CallerRequest(id, head.method(), head.target(), BodyDigest.of(body), false);
+		PlantedFault planted = this.server.context().planted();
+		if (planted == PlantedFault.OTHER_TARGET) {
+			read = new CallerRequest(id, read.method(), read.target() + "&planted", read.body(), false);
+		}
+		this.ledger.addRun(read, reported(run, planted));
+		if (planted == PlantedFault.SECOND_RUN) {
+			this.ledger.addRun(read, run);
+		}
+		Threads.sleep(behaviour.workMillis());
+		if (planted == PlantedFault.FALSE_REFUSAL) {
+			write(ResponseWriter.encodeRefusal(id, 503));
+			return true;
+		}
+		byte[] response = ResponseWriter.encodeRun(id, run, responseBody);
+		return switch (behaviour.outcome()) {
+			case RESET_AFTER_RUN -> reset();
+			case TRUNCATE -> {
+				write(part(response, behaviour.part()));
+				yield reset();
+			}
+			default -> {
+				writeTwice(response, behaviour.copy());
+				yield behaviour.framing() != Framing.CLOSE;
+			}
+		};
+	}
+
+	private static Run reported(Run run, PlantedFault planted) {
+		return switch (planted) {
+			case OTHER_BODY ->
+				new Run(run.connection(), run.signature(), run.status(), BodyDigest.of(new byte[1]), run.behaviour());
+			case OTHER_STATUS ->
+				new Run(run.connection(), run.signature(), run.status() + 1, run.body(), run.behaviour());
+			default -> run;
+		};
+	}
+
+	private static byte[] body(String id, String signature, int fillBytes) {
+		byte[] start = (id + " " + signature + " ").getBytes(StandardCharsets.US_ASCII);
+		byte[] body = Arrays.copyOf(start, start.length + fillBytes);
+		for (int i = start.length; i < body.length; i++) {
+			body[i] = start[i % start.length];
+		}
+		return body;
+	}
+
+	// Returns the first part of a response, at least one byte and not all.
+	private static byte[] part(byte[] response, double part) {
+		return Arrays.copyOf(response, 1 + (int) (part * (response.length - 1)));
+	}
+
+	private void writeTwice(byte[] response, Copy copy) throws IOException {
+		byte[] copied = (copy.part() < 1) ? part(response, copy.part()) : response;
+		this.hasCopies |= copy != Copy.NONE;
+		switch (copy.time()) {
+			case AT_ONCE -> {
+				byte[] both = Arrays.copyOf(response, response.length + copied.length);
+				System.arraycopy(copied, 0, both, response.length, copied.length);
+				write(both);
+			}
+			case LATER -> {
+				write(response);
+				Threads.start(this.name, () -> writeLate(copied, copy.delayMillis()));
+			}
+			case WITH_NEXT -> {
+				write(response);
+				this.pendingCopy = copied;
+			}
+			default -> write(response);
+		}
+	}
+
+	private void writeLate(byte[] copied, long delayMillis) {
+		Threads.sleep(delayMillis);
+		try {
+			write(copied);
+		}
+		catch (IOException ex) {
+			// The connection has ended in the meantime.
+		}
+	}
+
+	private void write(byte[] bytes) throws IOException {
+		synchronized (this.socket) {
+			OutputStream out = this.socket.getOutputStream();
+			out.write(bytes);
+		}
+	}
+
+	private boolean reset() throws IOException {
+		this.socket.setSoLinger(true, 0);
+		return false;
+	}
+
+}
--- /dev/null
+++ b/soak/src/main/java/org/celeryhill/soak/SoakResult.java
@@ -0,0 +1,39 @@
+package org.celeryhill.soak;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Result of a soak. Immutable.
+ *
+ * @param violations the promises that were broken, not null
+ * @param requests the requests by outcome, not null
+ * @param runs the number of runs at servers
+ * @param faults the faults that were injected by kind, not null
+ * @param seconds the duration
+ * @param maxMemoryKilobytes the largest resident memory of a daemon
+ */
+record SoakResult(List<Violation> violations, Map<Outcome, Integer> requests, int runs, Map<FaultKind, Integer> faults,
+		double seconds, long maxMemoryKilobytes) {
+
+	SoakResult {
+		violations = List.copyOf(violations);
+		requests = Map.copyOf(requests);
+		faults = Map.copyOf(faults);
+	}
+
+	int requestCount() {
+		return this.requests.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
+	int faultCount() {
+		return this.faults.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
+	long violationCount(Promise promise) {
+		Objects.requireNonNull(promise, "promise");
+		return this.violations.stream().filter((violation) -> violation.promise() == promise).count();
+	}
+
+}
