--- a/soak/src/main/java/org/celeryhill/soak/Caller.java
+++ b/soak/src/main/java/org/celeryhill/soak/Caller.java
@@ -129,7 +129,7 @@
 		catch (ProtocolException ex) {
 			this.site.context()
 				.violations()
-				.add(Promise.MIXED, "bytes that are no response (" + ex.getMessage() + "): " + sent.describe());
+				.add(Promise.MIXED, "bytes that are no response (" + ex.getMessage() + ")", sent);
 			disconnect();
 			return Outcome.CUT;
 		}
@@ -168,7 +168,7 @@
 		}
 		byte[] body = this.connection.readBody(head);
 		PlantedFault planted = this.site.context().planted();
-		if (planted == PlantedFault.LOST_RESPONSE) {
+		if (planted == PlantedFault.LOST_RESPONSE && this.requestCount % 4 == 0) {
 			throw new EOFException("planted");
 		}
 		CallerResponse response = (planted == PlantedFault.DENIAL)
@@ -182,7 +182,7 @@
 	private void finishExchange(HttpHead head, RequestRecord sent) throws IOException {
 		boolean isDelimitedByClose = !head.has("Content-Length") && !head.has("Transfer-Encoding");
 		if (!isDelimitedByClose && this.connection.hasUnreadBytes()) {
-			this.site.context().violations().add(Promise.MIXED, "bytes after the response: " + sent.describe());
+			this.site.context().violations().add(Promise.MIXED, "bytes after the response", sent);
 			disconnect();
 			return;
 		}
--- a/soak/src/main/java/org/celeryhill/soak/CutCheck.java
+++ b/soak/src/main/java/org/celeryhill/soak/CutCheck.java
@@ -33,8 +33,8 @@
 			}
 			unplanned += cut.isStopping() ? 0 : 1;
 			if (cut.isStopping() || unplanned > Bounds.UNPLANNED_CUTS) {
-				this.violations.add(Promise.LOST,
-						(cut.isStopping() ? "cut in a planned stop: " : "cut: ") + cut.request().describe());
+				String text = cut.isStopping() ? "cut off in a planned stop" : "cut off";
+				this.violations.add(Promise.LOST, text, cut.request());
 			}
 		}
 	}
--- a/soak/src/main/java/org/celeryhill/soak/PlantedFault.java
+++ b/soak/src/main/java/org/celeryhill/soak/PlantedFault.java
@@ -23,7 +23,7 @@
 	/** Servers run requests with another target. */
 	OTHER_TARGET,
 
-	/** Callers take responses for connections that ended without one. */
+	/** Callers take every fourth response for a connection that ended without one. */
 	LOST_RESPONSE,
 
 	/** Callers take responses of the servers for a denial by the system. */
--- a/soak/src/main/java/org/celeryhill/soak/Report.java
+++ b/soak/src/main/java/org/celeryhill/soak/Report.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.celeryhill.base.EventLog;
 
@@ -52,28 +53,40 @@
 	}
 
 	/**
-	 * Prints the violations, the schedule and the end of each log.
+	 * Prints the violations with what the daemons logged about them, the schedule and the
+	 * end of each log.
 	 * @param result the result, not null
 	 * @param schedule the schedule, not null
 	 * @param daemons the daemons, not null
 	 * @throws IOException if a log cannot be read
 	 */
 	void printViolations(SoakResult result, Schedule schedule, List<EdgeProcess> daemons) throws IOException {
+		Map<String, List<String>> logs = new TreeMap<>();
+		for (EdgeProcess daemon : daemons) {
+			logs.put(daemon.name(), Files.readAllLines(daemon.log()));
+		}
 		for (Promise promise : Promise.values()) {
 			result.violations()
 				.stream()
 				.filter((violation) -> violation.promise() == promise)
 				.limit(MAX_PRINTED)
-				.forEach((violation) -> this.out.printf("%8.3f s %s %s%n", violation.seconds(), promise,
-						violation.text()));
+				.forEach((violation) -> printViolation(violation, logs));
 		}
 		this.out.println("schedule, from the first request:");
 		schedule.steps().forEach(this.out::println);
 		for (EdgeProcess daemon : daemons) {
 			this.out.println("end of " + daemon.log() + ":");
-			List<String> lines = Files.readAllLines(daemon.log());
+			List<String> lines = logs.get(daemon.name());
 			lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()).forEach(this.out::println);
 		}
 	}
 
+	private void printViolation(Violation violation, Map<String, List<String>> logs) {
+		this.out.println(violation.describe());
+		violation.request()
+			.ifPresent((request) -> logs.forEach((daemon, lines) -> lines.stream()
+				.filter((line) -> line.contains(request.request().id()))
+				.forEach((line) -> this.out.println("    " + daemon + " " + line))));
+	}
+
 }
--- a/soak/src/main/java/org/celeryhill/soak/RequestLedger.java
+++ b/soak/src/main/java/org/celeryhill/soak/RequestLedger.java
@@ -72,13 +72,13 @@
 		known.addEvent(this.clock.seconds(), "runs at " + run);
 		known.addRun(run);
 		if (!known.request().hasSameContent(read)) {
-			this.violations.add(Promise.UNASKED, "run as " + read + ": " + known.describe());
+			this.violations.add(Promise.UNASKED, "run as " + read, known);
 		}
 		if (!known.request().isRepeatable() && known.runs().size() > 1) {
-			this.violations.add(Promise.TWICE, known.describe());
+			this.violations.add(Promise.TWICE, "run again", known);
 		}
 		if (known.response().map(CallerResponse::isRefusal).orElse(false)) {
-			this.violations.add(Promise.REFUSED, "runs after it was refused: " + known.describe());
+			this.violations.add(Promise.REFUSED, "runs after it was refused", known);
 		}
 	}
 
@@ -94,7 +94,7 @@
 			checkOrigin(known, response);
 		}
 		if (response.isRefusal() && !known.runs().isEmpty()) {
-			this.violations.add(Promise.REFUSED, "refused after it has run: " + known.describe());
+			this.violations.add(Promise.REFUSED, "refused after it has run", known);
 		}
 		if (response.isDenial()) {
 			checkDenials(known);
@@ -111,14 +111,14 @@
 		boolean isUnchanged = origin.isPresent() && origin.get().status() == response.status()
 				&& origin.get().body().equals(response.body());
 		if (!isUnchanged) {
-			this.violations.add(Promise.MIXED, known.describe());
+			this.violations.add(Promise.MIXED, "not the response of a run of this request", known);
 		}
 	}
 
 	private void checkDenials(RequestRecord known) {
 		int allowed = DENIAL_SLACK + this.records.size() / REQUESTS_PER_DENIAL;
 		if (this.denialCount.incrementAndGet() > allowed) {
-			this.violations.add(Promise.DENIED, known.describe());
+			this.violations.add(Promise.DENIED, "rejected as wrong", known);
 		}
 	}
 
--- a/soak/src/main/java/org/celeryhill/soak/ServerBehaviour.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerBehaviour.java
@@ -38,7 +38,9 @@
 
 	private static final int MAX_SLOW_WORK_MILLIS = 600;
 
-	private static final int[] BODY_BYTES = { 0, 10, 400, 400, 3000, 40_000 };
+	private static final int MAX_BODY_BYTES = 40_000;
+
+	private static final int[] BODY_BYTES = { 0, 10, 400, 400, 3000, MAX_BODY_BYTES };
 
 	ServerBehaviour {
 		Objects.requireNonNull(outcome, "outcome");
@@ -120,21 +122,25 @@
 	 * Second copy of a response on the same connection. Immutable.
 	 *
 	 * @param time when it is sent, not null
-	 * @param part the part of the response that it holds, 1 for the whole response
+	 * @param bytes the number of bytes after which it breaks off, {@link #WHOLE} for none
 	 * @param delayMillis the delay of a late copy in milliseconds
 	 */
-	record Copy(Time time, double part, int delayMillis) {
+	record Copy(Time time, int bytes, int delayMillis) {
+
+		static final int WHOLE = Integer.MAX_VALUE;
 
 		static final Copy NONE = new Copy(Time.NEVER, 0, 0);
 
+		/** About the size of a head, within which every second broken copy ends. */
+		private static final int HEAD_BYTES = 200;
+
 		private static final int MAX_DELAY_MILLIS = 15;
 
 		static Copy draw(SplittableRandom random) {
 			Time[] times = { Time.AT_ONCE, Time.LATER, Time.WITH_NEXT, Time.WITH_NEXT };
 			Time time = times[random.nextInt(times.length)];
-			boolean isWhole = random.nextBoolean();
-			double brokenPart = random.nextDouble();
-			return new Copy(time, isWhole ? 1 : brokenPart, random.nextInt(MAX_DELAY_MILLIS));
+			int[] lengths = { WHOLE, WHOLE, 1 + random.nextInt(HEAD_BYTES), 1 + random.nextInt(MAX_BODY_BYTES) };
+			return new Copy(time, lengths[random.nextInt(lengths.length)], random.nextInt(MAX_DELAY_MILLIS));
 		}
 
 		/** When a copy is sent. */
--- a/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
@@ -135,7 +135,7 @@
 		return switch (behaviour.outcome()) {
 			case RESET_AFTER_RUN -> reset();
 			case TRUNCATE -> {
-				write(part(response, behaviour.part()));
+				write(Arrays.copyOf(response, 1 + (int) (behaviour.part() * (response.length - 1))));
 				yield reset();
 			}
 			default -> {
@@ -164,13 +164,8 @@
 		return body;
 	}
 
-	// Returns the first part of a response, at least one byte and not all.
-	private static byte[] part(byte[] response, double part) {
-		return Arrays.copyOf(response, 1 + (int) (part * (response.length - 1)));
-	}
-
 	private void writeTwice(byte[] response, Copy copy) throws IOException {
-		byte[] copied = (copy.part() < 1) ? part(response, copy.part()) : response;
+		byte[] copied = (copy.bytes() < response.length) ? Arrays.copyOf(response, copy.bytes()) : response;
 		this.hasCopies |= copy != Copy.NONE;
 		switch (copy.time()) {
 			case AT_ONCE -> {
--- a/soak/src/main/java/org/celeryhill/soak/Soak.java
+++ b/soak/src/main/java/org/celeryhill/soak/Soak.java
@@ -131,10 +131,11 @@
 		return true;
 	}
 
-	// A daemon that was stopped last ends within its grace before it starts again.
 	private void awaitRecovery() {
 		long faultEnd = this.clock.nanos();
-		long limit = faultEnd + TimeUnit.MILLISECONDS.toNanos(Bounds.GRACE_MILLIS + Bounds.RECOVERY_MILLIS);
+		// A daemon that was stopped last ends within its grace before it starts again.
+		long stopMillis = daemons().stream().anyMatch(EdgeProcess::isStopping) ? Bounds.GRACE_MILLIS : 0;
+		long limit = faultEnd + TimeUnit.MILLISECONDS.toNanos(stopMillis + Bounds.RECOVERY_MILLIS);
 		while (!isStoppedEarly() && !unrecovered(faultEnd).isEmpty()) {
 			if (this.clock.nanos() > limit) {
 				this.violations.add(Promise.RECOVER, "no success after the last fault: " + unrecovered(faultEnd));
--- a/soak/src/main/java/org/celeryhill/soak/ViolationLog.java
+++ b/soak/src/main/java/org/celeryhill/soak/ViolationLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Violations of a soak, in the order in which they were found. Thread-safe.
@@ -17,7 +18,11 @@
 	}
 
 	synchronized void add(Promise promise, String text) {
-		this.violations.add(new Violation(promise, this.clock.seconds(), text));
+		this.violations.add(new Violation(promise, this.clock.seconds(), text, Optional.empty()));
+	}
+
+	synchronized void add(Promise promise, String text, RequestRecord request) {
+		this.violations.add(new Violation(promise, this.clock.seconds(), text, Optional.of(request)));
 	}
 
 	synchronized boolean isEmpty() {
