Run streams of events from model engines in the soak

Cause: the first version only had whole responses of plain services.

Change: engines that hold one model, two routes with streams, one of which may be resumed, and the promise ORDER. Copies and breaks hit streams too. Requests are counted by kind, and a test that each kind is served.

--- a/soak/src/main/java/org/celeryhill/soak/BackendServer.java
+++ b/soak/src/main/java/org/celeryhill/soak/BackendServer.java
@@ -15,19 +15,19 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Backend server of a plain service in the process of the soak. It can end and start
- * again under its id at another address. Thread-safe.
+ * Backend server in the process of the soak. It can end and start again under its id at
+ * another address. Thread-safe.
  */
 final class BackendServer implements AutoCloseable {
 
 	private static final int BACKLOG = 256;
 
-	private static final int SLOTS = 8;
-
 	private static final AtomicLong LAST_START = new AtomicLong();
 
 	private final String id;
 
+	private final Service service;
+
 	private final SoakContext context;
 
 	private final Map<FaultKind, Integer> faults = new EnumMap<>(FaultKind.class);
@@ -42,8 +42,9 @@
 
 	private long startMillis;
 
-	BackendServer(String id, SoakContext context) {
+	BackendServer(String id, Service service, SoakContext context) {
 		this.id = id;
+		this.service = service;
 		this.context = context;
 	}
 
@@ -96,14 +97,11 @@
 	}
 
 	/**
-	 * Returns what the server writes about itself into the platform's store.
+	 * Returns what the server says about itself, in the platform's store and in reports.
 	 * @return the encoded entry, never null
 	 */
 	synchronized String entry() {
-		return ("{'service':'" + Site.SERVICE + "','address':'127.0.0.1:" + this.listener.getLocalPort()
-				+ "','zone':'z1','version':1,'slots':" + SLOTS + ",'state':'ready','cold_remaining_ms':0,"
-				+ "'sequence':1,'born':" + this.startMillis + "}")
-			.replace('\'', '"');
+		return this.service.entry(this.listener.getLocalPort(), this.startMillis);
 	}
 
 	void begin(FaultKind fault) {
--- a/soak/src/main/java/org/celeryhill/soak/Caller.java
+++ b/soak/src/main/java/org/celeryhill/soak/Caller.java
@@ -1,5 +1,6 @@
 package org.celeryhill.soak;
 
+import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.ProtocolException;
@@ -25,6 +26,8 @@
 
 	private static final int[] DEADLINES_MILLIS = { 1500, 4000, 4000 };
 
+	private static final int MAX_EVENTS = 20;
+
 	private static final int MAX_PAUSE_MILLIS = 30;
 
 	private static final int PAUSE_AFTER_FAILED_CONNECT_MILLIS = 50;
@@ -64,10 +67,10 @@
 	public void run() {
 		while (!this.isEnding.getAsBoolean()) {
 			if (connect()) {
-				this.tally.add(call());
+				call();
 			}
 			else {
-				this.tally.add(Outcome.NOT_CONNECTED);
+				this.tally.addFailedConnect();
 				Threads.sleep(PAUSE_AFTER_FAILED_CONNECT_MILLIS);
 			}
 			Threads.sleep(this.random.nextInt(MAX_PAUSE_MILLIS));
@@ -101,9 +104,13 @@
 		}
 	}
 
-	private Outcome call() {
+	private void call() {
 		byte[] body = drawBody();
 		CallerRequest request = drawRequest(body);
+		this.tally.add(request.kind(), exchange(request, body));
+	}
+
+	private Outcome exchange(CallerRequest request, byte[] body) {
 		EdgeProcess daemon = this.connection.daemon();
 		RequestRecord sent = this.site.context().ledger().send(request, daemon.name());
 		long sentNanos = this.site.clock().nanos();
@@ -135,7 +142,7 @@
 		}
 		catch (IOException ex) {
 			sent.addEvent(this.site.clock().seconds(), "cut: " + ex);
-			this.cuts.add(new Cut(sent, daemon, sentNanos, this.site.clock().nanos(), daemon.isStopping()));
+			this.cuts.add(new CutCheck.Cut(sent, daemon, sentNanos, this.site.clock().nanos(), daemon.isStopping()));
 			disconnect();
 			return Outcome.CUT;
 		}
@@ -152,10 +159,11 @@
 
 	private CallerRequest drawRequest(byte[] body) {
 		String id = String.format("%06x%010x", this.index, this.requestCount++);
-		boolean isRepeatable = this.random.nextBoolean();
-		String target = (isRepeatable ? Site.REPEATABLE : Site.UNREPEATABLE) + "c" + this.index + "?n="
-				+ this.requestCount;
-		return new CallerRequest(id, (body.length > 0) ? "POST" : "GET", target, BodyDigest.of(body), isRepeatable);
+		RequestKind kind = RequestKind.values()[this.random.nextInt(RequestKind.values().length)];
+		int events = 1 + this.random.nextInt(MAX_EVENTS);
+		String target = kind.prefix() + "c" + this.index + "?n=" + this.requestCount
+				+ (kind.isStream() ? EventStream.countParameter(events) : "");
+		return new CallerRequest(id, (body.length > 0) ? "POST" : "GET", target, BodyDigest.of(body));
 	}
 
 	private Outcome receive(RequestRecord sent) throws IOException {
@@ -166,7 +174,7 @@
 		if (head == null) {
 			throw new EOFException("connection ended without a response");
 		}
-		byte[] body = this.connection.readBody(head);
+		byte[] body = receiveBody(head, sent);
 		PlantedFault planted = this.site.context().planted();
 		if (planted == PlantedFault.LOST_RESPONSE && this.requestCount % 4 == 0) {
 			throw new EOFException("planted");
@@ -179,6 +187,28 @@
 		return Outcome.of(response);
 	}
 
+	private byte[] receiveBody(HttpHead head, RequestRecord sent) throws IOException {
+		ByteArrayOutputStream body = new ByteArrayOutputStream();
+		boolean isStream = sent.request().kind().isStream() && head.status() / 100 == 2;
+		boolean isEnded = false;
+		try {
+			this.connection.readBody(head, body);
+			isEnded = true;
+			return body.toByteArray();
+		}
+		finally {
+			if (isStream) {
+				checkEvents(sent, body.toByteArray(), isEnded);
+			}
+		}
+	}
+
+	private void checkEvents(RequestRecord sent, byte[] body, boolean isEnded) {
+		CallerRequest request = sent.request();
+		EventStream.check(request.id(), body, EventStream.count(request.target()), isEnded)
+			.ifPresent((problem) -> this.site.context().violations().add(Promise.ORDER, problem, sent));
+	}
+
 	private void finishExchange(HttpHead head, RequestRecord sent) throws IOException {
 		boolean isDelimitedByClose = !head.has("Content-Length") && !head.has("Transfer-Encoding");
 		if (!isDelimitedByClose && this.connection.hasUnreadBytes()) {
--- a/soak/src/main/java/org/celeryhill/soak/CallerConnection.java
+++ b/soak/src/main/java/org/celeryhill/soak/CallerConnection.java
@@ -51,6 +51,10 @@
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
 		write(out, request.method() + " " + request.target() + " HTTP/1.1\r\nHost: " + Site.HOST + "\r\n"
 				+ Wire.ATTEMPT_ID + ": " + request.id() + "\r\n" + Wire.DEADLINE_MS + ": " + deadlineMillis + "\r\n");
+		if (request.kind().isStream()) {
+			write(out, Wire.MODEL + ": m\r\n" + Wire.TOKEN_COUNTS + ": 100," + EventStream.count(request.target())
+					+ "\r\n" + Wire.PROMPT_PREFIX + ": " + request.id() + ":100\r\n");
+		}
 		if (body.length > 0 && isChunked) {
 			write(out, "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length) + "\r\n");
 			out.writeBytes(body);
@@ -71,8 +75,8 @@
 		return this.reader.readHead();
 	}
 
-	byte[] readBody(HttpHead head) throws IOException {
-		return this.reader.readResponseBody(head);
+	void readBody(HttpHead head, ByteArrayOutputStream body) throws IOException {
+		this.reader.readResponseBody(head, body);
 	}
 
 	boolean hasUnreadBytes() throws IOException {
--- a/soak/src/main/java/org/celeryhill/soak/CallerRequest.java
+++ b/soak/src/main/java/org/celeryhill/soak/CallerRequest.java
@@ -9,9 +9,8 @@
  * @param method the method, not null
  * @param target the path and query, not null
  * @param body the body, not null
- * @param isRepeatable whether it may run more than once
  */
-record CallerRequest(String id, String method, String target, BodyDigest body, boolean isRepeatable) {
+record CallerRequest(String id, String method, String target, BodyDigest body) {
 
 	CallerRequest {
 		Objects.requireNonNull(id, "id");
@@ -20,6 +19,10 @@
 		Objects.requireNonNull(body, "body");
 	}
 
+	RequestKind kind() {
+		return RequestKind.of(this.target);
+	}
+
 	/**
 	 * Returns whether a server got the same request.
 	 * @param other what a server read, not null
--- a/soak/src/main/java/org/celeryhill/soak/CutCheck.java
+++ b/soak/src/main/java/org/celeryhill/soak/CutCheck.java
@@ -44,4 +44,17 @@
 				|| cut.daemon().wasDisturbed(cut.sentNanos(), cut.endNanos());
 	}
 
+	/**
+	 * Request whose connection ended without a whole response. Immutable.
+	 *
+	 * @param request the record of the request, not null
+	 * @param daemon the daemon that it was sent to, not null
+	 * @param sentNanos the time at which it was sent
+	 * @param endNanos the time at which the connection ended
+	 * @param isStopping whether the daemon had got SIGTERM
+	 */
+	record Cut(RequestRecord request, EdgeProcess daemon, long sentNanos, long endNanos, boolean isStopping) {
+
+	}
+
 }
--- a/soak/src/main/java/org/celeryhill/soak/FaultKind.java
+++ b/soak/src/main/java/org/celeryhill/soak/FaultKind.java
@@ -50,46 +50,16 @@
 	},
 
 	/** The store sends no response. */
-	STORE_SILENT(Scope.STORE, 1, 500, 5000) {
-		@Override
-		void begin(Site site, FaultStep step) {
-			site.storeFaults().begin(FakePlatformStore.Fault.SILENT);
-		}
-
-		@Override
-		void end(Site site, FaultStep step) {
-			site.storeFaults().end(FakePlatformStore.Fault.SILENT);
-		}
-	},
+	STORE_SILENT(Scope.STORE, 1, 500, 5000, FakePlatformStore.Fault.SILENT),
 
 	/** The store refuses each call. */
-	STORE_BUSY(Scope.STORE, 1, 500, 5000) {
-		@Override
-		void begin(Site site, FaultStep step) {
-			site.storeFaults().begin(FakePlatformStore.Fault.BUSY);
-		}
-
-		@Override
-		void end(Site site, FaultStep step) {
-			site.storeFaults().end(FakePlatformStore.Fault.BUSY);
-		}
-	},
+	STORE_BUSY(Scope.STORE, 1, 500, 5000, FakePlatformStore.Fault.BUSY),
 
 	/** The store executes writes but sends no response to them. */
-	STORE_LOST(Scope.STORE, 1, 500, 3000) {
-		@Override
-		void begin(Site site, FaultStep step) {
-			site.storeFaults().begin(FakePlatformStore.Fault.LOST_RESPONSES);
-		}
-
-		@Override
-		void end(Site site, FaultStep step) {
-			site.storeFaults().end(FakePlatformStore.Fault.LOST_RESPONSES);
-		}
-	},
+	STORE_LOST(Scope.STORE, 1, 500, 3000, FakePlatformStore.Fault.LOST_RESPONSES),
 
 	/** The store discards its history of changes. */
-	STORE_HISTORY(Scope.STORE, 1, 1, 2) {
+	STORE_HISTORY(Scope.STORE, 1, 1, 2, FakePlatformStore.Fault.NONE) {
 		@Override
 		void begin(Site site, FaultStep step) {
 			site.storeFaults().dropHistory();
@@ -150,7 +120,14 @@
 
 	private final int maxMillis;
 
+	private final FakePlatformStore.Fault storeFault;
+
 	FaultKind(Scope scope, int weight, int minMillis, int maxMillis) {
+		this(scope, weight, minMillis, maxMillis, FakePlatformStore.Fault.NONE);
+	}
+
+	FaultKind(Scope scope, int weight, int minMillis, int maxMillis, FakePlatformStore.Fault storeFault) {
+		this.storeFault = storeFault;
 		this.scope = scope;
 		this.weight = weight;
 		this.minMillis = minMillis;
@@ -191,7 +168,12 @@
 	 * @param step the fault, not null
 	 */
 	void begin(Site site, FaultStep step) {
-		site.servers().begin(this, step.target());
+		if (this.scope == Scope.STORE) {
+			site.storeFaults().begin(this.storeFault);
+		}
+		else {
+			site.servers().begin(this, step.target());
+		}
 	}
 
 	/**
@@ -203,6 +185,9 @@
 		if (this.scope == Scope.SERVERS) {
 			site.servers().end(this, step.target());
 		}
+		else if (this.scope == Scope.STORE) {
+			site.storeFaults().end(this.storeFault);
+		}
 	}
 
 	private enum Scope {
--- a/soak/src/main/java/org/celeryhill/soak/HttpReader.java
+++ b/soak/src/main/java/org/celeryhill/soak/HttpReader.java
@@ -54,28 +54,37 @@
 	 * @throws IOException if the body is not whole
 	 */
 	byte[] readBody(HttpHead head) throws IOException {
+		ByteArrayOutputStream body = new ByteArrayOutputStream();
+		readBody(head, body);
+		return body.toByteArray();
+	}
+
+	private void readBody(HttpHead head, ByteArrayOutputStream body) throws IOException {
 		if (!head.has("Transfer-Encoding")) {
 			String length = head.header("Content-Length");
-			return readFully(length.isEmpty() ? 0 : parse(length, 10));
+			body.writeBytes(readFully(length.isEmpty() ? 0 : parse(length, 10)));
+			return;
 		}
-		ByteArrayOutputStream body = new ByteArrayOutputStream();
 		for (int size = readChunkSize(); size > 0; size = readChunkSize()) {
-			body.write(readFully(size));
+			body.writeBytes(readFully(size));
 			requireEmptyLine();
 		}
 		requireEmptyLine();
-		return body.toByteArray();
 	}
 
 	/**
 	 * Reads the body of a response, which may also last until the connection ends.
 	 * @param head the head of the response, not null
-	 * @return the whole body, never null
+	 * @param body takes the body; the whole chunks of one that is not whole, not null
 	 * @throws IOException if the body is not whole
 	 */
-	byte[] readResponseBody(HttpHead head) throws IOException {
-		boolean isDelimitedByClose = !head.has("Transfer-Encoding") && !head.has("Content-Length");
-		return isDelimitedByClose ? this.in.readAllBytes() : readBody(head);
+	void readResponseBody(HttpHead head, ByteArrayOutputStream body) throws IOException {
+		if (head.has("Transfer-Encoding") || head.has("Content-Length")) {
+			readBody(head, body);
+		}
+		else {
+			this.in.transferTo(body);
+		}
 	}
 
 	/**
--- a/soak/src/main/java/org/celeryhill/soak/Outcome.java
+++ b/soak/src/main/java/org/celeryhill/soak/Outcome.java
@@ -24,10 +24,7 @@
 	TIMED_OUT,
 
 	/** The caller closed the connection before the response. */
-	LEFT,
-
-	/** No connection. */
-	NOT_CONNECTED;
+	LEFT;
 
 	static Outcome of(CallerResponse response) {
 		if (response.isSuccess()) {
--- a/soak/src/main/java/org/celeryhill/soak/PlantedFault.java
+++ b/soak/src/main/java/org/celeryhill/soak/PlantedFault.java
@@ -23,6 +23,9 @@
 	/** Servers run requests with another target. */
 	OTHER_TARGET,
 
+	/** Engines leave out an event. */
+	MISSING_EVENT,
+
 	/** Callers take every fourth response for a connection that ended without one. */
 	LOST_RESPONSE,
 
--- a/soak/src/main/java/org/celeryhill/soak/Promise.java
+++ b/soak/src/main/java/org/celeryhill/soak/Promise.java
@@ -22,6 +22,9 @@
 	 */
 	LOST,
 
+	/** Streams have no gap, no repeated event and no early end that looks complete. */
+	ORDER,
+
 	/** Proper requests are not rejected as wrong. */
 	DENIED,
 
--- a/soak/src/main/java/org/celeryhill/soak/Report.java
+++ b/soak/src/main/java/org/celeryhill/soak/Report.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
-import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -31,27 +30,15 @@
 				"seconds", Math.round(result.seconds()), "requests", result.requestCount(), "runs", result.runs(),
 				"faults", result.faultCount(), "violations", result.violations().size(), "max_memory_mb",
 				result.maxMemoryKilobytes() / 1000));
-		this.out.println("requests by outcome: " + withDefault(result.requests()));
-		this.out.println("faults by kind: " + sorted(result.faults()));
+		new TreeMap<>(result.requests())
+			.forEach((kind, outcomes) -> this.out.println("requests " + kind + ": " + outcomes));
+		this.out.println("failed connects: " + result.failedConnects());
+		this.out.println("faults: " + new TreeMap<>(result.faults()));
 		for (Promise promise : Promise.values()) {
 			this.out.println("promise " + promise + ": " + result.violationCount(promise) + " violations");
 		}
 	}
 
-	private static Map<Outcome, Integer> withDefault(Map<Outcome, Integer> counts) {
-		Map<Outcome, Integer> all = new EnumMap<>(Outcome.class);
-		for (Outcome outcome : Outcome.values()) {
-			all.put(outcome, counts.getOrDefault(outcome, 0));
-		}
-		return all;
-	}
-
-	private static Map<FaultKind, Integer> sorted(Map<FaultKind, Integer> counts) {
-		Map<FaultKind, Integer> all = new EnumMap<>(FaultKind.class);
-		all.putAll(counts);
-		return all;
-	}
-
 	/**
 	 * Prints the violations with what the daemons logged about them, the schedule and the
 	 * end of each log.
--- a/soak/src/main/java/org/celeryhill/soak/RequestLedger.java
+++ b/soak/src/main/java/org/celeryhill/soak/RequestLedger.java
@@ -74,7 +74,7 @@
 		if (!known.request().hasSameContent(read)) {
 			this.violations.add(Promise.UNASKED, "run as " + read, known);
 		}
-		if (!known.request().isRepeatable() && known.runs().size() > 1) {
+		if (!known.request().kind().isRepeatable() && known.runs().size() > 1) {
 			this.violations.add(Promise.TWICE, "run again", known);
 		}
 		if (known.response().map(CallerResponse::isRefusal).orElse(false)) {
@@ -101,15 +101,15 @@
 		}
 	}
 
-	// A success has the body of the run as well; the status is checked for each response
-	// with a signature.
+	// Events are checked as they come, and a stream goes on under the signature of its
+	// first run.
 	private void checkOrigin(RequestRecord known, CallerResponse response) {
 		Optional<Run> origin = known.runs()
 			.stream()
 			.filter((run) -> run.signature().equals(response.signature()))
 			.findFirst();
 		boolean isUnchanged = origin.isPresent() && origin.get().status() == response.status()
-				&& origin.get().body().equals(response.body());
+				&& (known.request().kind().isStream() || origin.get().body().equals(response.body()));
 		if (!isUnchanged) {
 			this.violations.add(Promise.MIXED, "not the response of a run of this request", known);
 		}
--- a/soak/src/main/java/org/celeryhill/soak/ResponseWriter.java
+++ b/soak/src/main/java/org/celeryhill/soak/ResponseWriter.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Encodes the responses of the backend servers. Stateless and thread-safe.
@@ -21,8 +23,7 @@
 	 * @return the bytes, never null
 	 */
 	static byte[] encodeRun(String id, Run run, byte[] body) {
-		String head = head(id, run.status()) + Wire.SIGNATURE + ": " + run.signature()
-				+ "\r\nContent-Type: text/plain\r\n";
+		String head = signedHead(id, run);
 		return switch (run.behaviour().framing()) {
 			case LENGTH -> join(head + "Content-Length: " + body.length + "\r\n\r\n", body);
 			case CHUNKS -> encodeChunks(head + "Transfer-Encoding: chunked\r\n\r\n", body);
@@ -50,6 +51,40 @@
 				new byte[0]);
 	}
 
+	/**
+	 * Encodes the response of a run that sends events.
+	 * @param id the id of the request, not null
+	 * @param run the run, not null
+	 * @param events the events, not null
+	 * @return the head, each event and the end, never null
+	 */
+	static List<byte[]> encodeStream(String id, Run run, List<byte[]> events) {
+		List<byte[]> parts = new ArrayList<>();
+		String head = signedHead(id, run).replace("text/plain", "text/event-stream");
+		parts.add(join(head + "Transfer-Encoding: chunked\r\n\r\n", new byte[0]));
+		for (byte[] event : events) {
+			parts.add(join(
+					Integer.toHexString(event.length) + "\r\n" + new String(event, StandardCharsets.US_ASCII) + "\r\n",
+					new byte[0]));
+		}
+		parts.add(join("0\r\n\r\n", new byte[0]));
+		return parts;
+	}
+
+	/**
+	 * Encodes the response to a question about the state of an engine.
+	 * @param report the state, not null
+	 * @return the bytes, never null
+	 */
+	static byte[] encodeReport(String report) {
+		return join("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + report.length()
+				+ "\r\n\r\n" + report, new byte[0]);
+	}
+
+	private static String signedHead(String id, Run run) {
+		return head(id, run.status()) + Wire.SIGNATURE + ": " + run.signature() + "\r\nContent-Type: text/plain\r\n";
+	}
+
 	private static String head(String id, int status) {
 		return "HTTP/1.1 " + status + " Text\r\n" + Wire.ATTEMPT_ID + ": " + id + "\r\n" + Wire.SERVER_LOAD
 				+ ": 1,0,8\r\n";
--- a/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
@@ -1,10 +1,12 @@
 package org.celeryhill.soak;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 
 import org.celeryhill.soak.ServerBehaviour.Copy;
@@ -21,6 +23,10 @@
 
 	private static final int BAD_REQUEST = 400;
 
+	private static final int CONFLICT = 409;
+
+	private static final int EVENT_GAP_MILLIS = 3;
+
 	private final BackendServer server;
 
 	private final Socket socket;
@@ -76,6 +82,15 @@
 			write(ResponseWriter.encodeHealth(this.server.id()));
 			return true;
 		}
+		if (head.target().equals(Wire.REPORT_PATH)) {
+			write(ResponseWriter.encodeReport(this.server.entry()));
+			return true;
+		}
+		if (head.target().equals(Wire.ORDER_PATH)) {
+			// Another order is in progress, so that the engine keeps its model.
+			write(ResponseWriter.encodeRefusal(id, CONFLICT));
+			return true;
+		}
 		if (id.isEmpty()) {
 			write(ResponseWriter.encodeRefusal(id, BAD_REQUEST));
 			return true;
@@ -104,7 +119,8 @@
 
 	private boolean refuse(String id, Optional<RequestRecord> known, ServerBehaviour behaviour) throws IOException {
 		addEvent(known, "refused with " + behaviour.status() + " at " + this.name + ", copy " + behaviour.copy());
-		writeTwice(ResponseWriter.encodeRefusal(id, behaviour.status()), behaviour.copy());
+		byte[] response = ResponseWriter.encodeRefusal(id, behaviour.status());
+		writeTwice(response, response, behaviour.copy());
 		return true;
 	}
 
@@ -117,10 +133,10 @@
 		String signature = this.server.nextSignature();
 		byte[] responseBody = body(id, signature, behaviour.bodyBytes());
 		Run run = new Run(this.name, signature, behaviour.status(), BodyDigest.of(responseBody), behaviour);
-		CallerRequest read = new CallerRequest(id, head.method(), head.target(), BodyDigest.of(body), false);
+		CallerRequest read = new CallerRequest(id, head.method(), head.target(), BodyDigest.of(body));
 		PlantedFault planted = this.server.context().planted();
 		if (planted == PlantedFault.OTHER_TARGET) {
-			read = new CallerRequest(id, read.method(), read.target() + "&planted", read.body(), false);
+			read = new CallerRequest(id, read.method(), read.target() + "&planted", read.body());
 		}
 		this.ledger.addRun(read, reported(run, planted));
 		if (planted == PlantedFault.SECOND_RUN) {
@@ -131,18 +147,61 @@
 			write(ResponseWriter.encodeRefusal(id, 503));
 			return true;
 		}
-		byte[] response = ResponseWriter.encodeRun(id, run, responseBody);
-		return switch (behaviour.outcome()) {
-			case RESET_AFTER_RUN -> reset();
+		List<byte[]> parts = isStream(read, run) ? ResponseWriter.encodeStream(id, run, events(head))
+				: List.of(ResponseWriter.encodeRun(id, run, responseBody));
+		return send(parts, behaviour);
+	}
+
+	private static boolean isStream(CallerRequest request, Run run) {
+		return request.kind().isStream() && run.status() / 100 == 2;
+	}
+
+	private List<byte[]> events(HttpHead head) throws IOException {
+		String last = head.header(Wire.LAST_EVENT_ID);
+		int from = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+		List<byte[]> events = EventStream.events(head.header(Wire.ATTEMPT_ID), from, EventStream.count(head.target()));
+		if (this.server.context().planted() == PlantedFault.MISSING_EVENT && events.size() > 2) {
+			events.remove(1);
+		}
+		return events;
+	}
+
+	private boolean send(List<byte[]> parts, ServerBehaviour behaviour) throws IOException {
+		byte[] response = join(parts);
+		switch (behaviour.outcome()) {
+			case RESET_AFTER_RUN -> {
+				return reset();
+			}
 			case TRUNCATE -> {
-				write(Arrays.copyOf(response, 1 + (int) (behaviour.part() * (response.length - 1))));
-				yield reset();
+				writeParts(parts, 1 + (int) (behaviour.part() * (response.length - 1)));
+				return reset();
 			}
 			default -> {
-				writeTwice(response, behaviour.copy());
-				yield behaviour.framing() != Framing.CLOSE;
+				int lastLength = parts.get(parts.size() - 1).length;
+				writeParts(parts, response.length - lastLength);
+				writeTwice(parts.get(parts.size() - 1), response, behaviour.copy());
+				return parts.size() > 1 || behaviour.framing() != Framing.CLOSE;
 			}
-		};
+		}
+	}
+
+	private static byte[] join(List<byte[]> parts) {
+		ByteArrayOutputStream all = new ByteArrayOutputStream();
+		parts.forEach(all::writeBytes);
+		return all.toByteArray();
+	}
+
+	// Writes the parts one after another, until the limit of their bytes.
+	private void writeParts(List<byte[]> parts, int limit) throws IOException {
+		int left = limit;
+		for (byte[] part : parts) {
+			if (left <= 0) {
+				return;
+			}
+			write(Arrays.copyOf(part, Math.min(left, part.length)));
+			left -= part.length;
+			Threads.sleep(EVENT_GAP_MILLIS);
+		}
 	}
 
 	private static Run reported(Run run, PlantedFault planted) {
@@ -164,24 +223,21 @@
 		return body;
 	}
 
-	private void writeTwice(byte[] response, Copy copy) throws IOException {
+	// Writes the last part of a response, and the whole response again.
+	private void writeTwice(byte[] lastPart, byte[] response, Copy copy) throws IOException {
 		byte[] copied = (copy.bytes() < response.length) ? Arrays.copyOf(response, copy.bytes()) : response;
 		this.hasCopies |= copy != Copy.NONE;
 		switch (copy.time()) {
-			case AT_ONCE -> {
-				byte[] both = Arrays.copyOf(response, response.length + copied.length);
-				System.arraycopy(copied, 0, both, response.length, copied.length);
-				write(both);
-			}
+			case AT_ONCE -> write(join(List.of(lastPart, copied)));
 			case LATER -> {
-				write(response);
+				write(lastPart);
 				Threads.start(this.name, () -> writeLate(copied, copy.delayMillis()));
 			}
 			case WITH_NEXT -> {
-				write(response);
+				write(lastPart);
 				this.pendingCopy = copied;
 			}
-			default -> write(response);
+			default -> write(lastPart);
 		}
 	}
 
--- a/soak/src/main/java/org/celeryhill/soak/ServerPool.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerPool.java
@@ -16,10 +16,13 @@
 
 	private final FakePlatformStore store;
 
-	ServerPool(int count, SoakContext context, FakePlatformStore store) {
+	ServerPool(int serverCount, int engineCount, SoakContext context, FakePlatformStore store) {
 		this.store = store;
-		for (int i = 0; i < count; i++) {
-			this.servers.add(new BackendServer("i-" + i, context));
+		for (int i = 0; i < serverCount; i++) {
+			this.servers.add(new BackendServer("i-" + i, Service.PLAIN, context));
+		}
+		for (int i = 0; i < engineCount; i++) {
+			this.servers.add(new BackendServer("m-" + i, Service.MODEL, context));
 		}
 	}
 
--- a/soak/src/main/java/org/celeryhill/soak/Soak.java
+++ b/soak/src/main/java/org/celeryhill/soak/Soak.java
@@ -57,7 +57,7 @@
 	Soak(SoakSettings settings, Path folder) throws IOException {
 		this.settings = settings;
 		this.schedule = Schedule.draw(settings.seed, settings.durationMillis(), settings.kinds(), settings.processes,
-				settings.servers);
+				settings.servers + settings.engines);
 		this.site = new Site(settings,
 				new SoakContext(settings.seed, this.ledger, this.clock, this.violations, settings.planted), folder);
 	}
@@ -85,8 +85,8 @@
 		endCallers(callers);
 		this.cuts.run();
 		memoryChecks.dispose();
-		return new SoakResult(this.violations.all(), this.tally.counts(), this.ledger.runCount(), this.faults,
-				this.clock.seconds() - start, memory.maxKilobytes());
+		return new SoakResult(this.violations.all(), this.tally.counts(), this.tally.failedConnects(),
+				this.ledger.runCount(), this.faults, this.clock.seconds() - start, memory.maxKilobytes());
 	}
 
 	private List<Thread> startCallers() {
--- a/soak/src/main/java/org/celeryhill/soak/SoakResult.java
+++ b/soak/src/main/java/org/celeryhill/soak/SoakResult.java
@@ -8,14 +8,15 @@
  * Result of a soak. Immutable.
  *
  * @param violations the promises that were broken, not null
- * @param requests the requests by outcome, not null
+ * @param requests the requests by kind and outcome, not null
+ * @param failedConnects the number of connections that could not be opened
  * @param runs the number of runs at servers
  * @param faults the faults that were injected by kind, not null
  * @param seconds the duration
  * @param maxMemoryKilobytes the largest resident memory of a daemon
  */
-record SoakResult(List<Violation> violations, Map<Outcome, Integer> requests, int runs, Map<FaultKind, Integer> faults,
-		double seconds, long maxMemoryKilobytes) {
+record SoakResult(List<Violation> violations, Map<RequestKind, Map<Outcome, Integer>> requests, int failedConnects,
+		int runs, Map<FaultKind, Integer> faults, double seconds, long maxMemoryKilobytes) {
 
 	SoakResult {
 		violations = List.copyOf(violations);
@@ -24,7 +25,11 @@
 	}
 
 	int requestCount() {
-		return this.requests.values().stream().mapToInt(Integer::intValue).sum();
+		return this.requests.values()
+			.stream()
+			.flatMap((outcomes) -> outcomes.values().stream())
+			.mapToInt(Integer::intValue)
+			.sum();
 	}
 
 	int faultCount() {
--- a/soak/src/main/java/org/celeryhill/soak/SoakSettings.java
+++ b/soak/src/main/java/org/celeryhill/soak/SoakSettings.java
@@ -33,9 +33,12 @@
 	@Option(names = "--processes", defaultValue = "4", description = "Number of edge daemons.")
 	int processes;
 
-	@Option(names = "--servers", defaultValue = "5", description = "Number of backend servers.")
+	@Option(names = "--servers", defaultValue = "5", description = "Number of servers of the plain service.")
 	int servers;
 
+	@Option(names = "--engines", defaultValue = "3", description = "Number of model engines.")
+	int engines;
+
 	@Option(names = "--callers", defaultValue = "4", description = "Number of callers for each edge daemon.")
 	int callers;
 
@@ -70,6 +73,7 @@
 		}
 		checkRange("--processes", this.processes, MAX_PROCESSES, findings);
 		checkRange("--servers", this.servers, MAX_SERVERS, findings);
+		checkRange("--engines", this.engines, MAX_SERVERS, findings);
 		checkRange("--callers", this.callers, MAX_PROCESSES, findings);
 		for (String name : this.only) {
 			if (findKind(name) == null) {
--- a/soak/src/main/java/org/celeryhill/soak/Tally.java
+++ b/soak/src/main/java/org/celeryhill/soak/Tally.java
@@ -5,16 +5,22 @@
 import java.util.Map;
 
 /**
- * Counts of requests by their outcome. Thread-safe.
+ * Counts of requests by their kind and outcome. Thread-safe.
  */
 final class Tally {
 
-	private final Map<Outcome, Integer> counts = new EnumMap<>(Outcome.class);
+	private final Map<RequestKind, Map<Outcome, Integer>> counts = new EnumMap<>(RequestKind.class);
 
 	private final Map<String, Long> lastSuccessNanos = new HashMap<>();
 
-	synchronized void add(Outcome outcome) {
-		this.counts.merge(outcome, 1, Integer::sum);
+	private int failedConnects;
+
+	synchronized void add(RequestKind kind, Outcome outcome) {
+		this.counts.computeIfAbsent(kind, (one) -> new EnumMap<>(Outcome.class)).merge(outcome, 1, Integer::sum);
+	}
+
+	synchronized void addFailedConnect() {
+		this.failedConnects++;
 	}
 
 	/**
@@ -30,12 +36,16 @@
 		return this.lastSuccessNanos.getOrDefault(daemon, -1L) > nanos;
 	}
 
-	synchronized Map<Outcome, Integer> counts() {
-		return Map.copyOf(this.counts);
+	/**
+	 * Returns the counts, after the last request has ended.
+	 * @return the counts by kind and outcome, never null
+	 */
+	synchronized Map<RequestKind, Map<Outcome, Integer>> counts() {
+		return new EnumMap<>(this.counts);
 	}
 
-	synchronized int total() {
-		return this.counts.values().stream().mapToInt(Integer::intValue).sum();
+	synchronized int failedConnects() {
+		return this.failedConnects;
 	}
 
 }
--- a/soak/src/main/java/org/celeryhill/soak/Wire.java
+++ b/soak/src/main/java/org/celeryhill/soak/Wire.java
@@ -21,6 +21,19 @@
 	/** Number of running requests, waiting requests and slots, comma-separated. */
 	static final String SERVER_LOAD = "X-Server-Load";
 
+	static final String MODEL = "X-Model";
+
+	/** Number of prompt tokens and maximum number of output tokens, comma-separated. */
+	static final String TOKEN_COUNTS = "X-Token-Counts";
+
+	static final String PROMPT_PREFIX = "X-Prompt-Prefix";
+
+	static final String LAST_EVENT_ID = "Last-Event-Id";
+
+	static final String REPORT_PATH = "/-/report";
+
+	static final String ORDER_PATH = "/-/order";
+
 	static final String READY_PATH = "/-/ready";
 
 	static final String HEALTH_PATH = "/health";
--- a/soak/src/test/java/org/celeryhill/soak/SoakTests.java
+++ b/soak/src/test/java/org/celeryhill/soak/SoakTests.java
@@ -64,10 +64,11 @@
 	// Guards against a soak that does not notice a broken promise.
 	@ParameterizedTest
 	@CsvSource({ "OTHER_BODY, MIXED", "OTHER_STATUS, MIXED", "SECOND_RUN, TWICE", "FALSE_REFUSAL, REFUSED",
-			"OTHER_TARGET, UNASKED", "LOST_RESPONSE, LOST", "DENIAL, DENIED", "HIDDEN_KILL, ENDED",
-			"LARGE_MEMORY, MEMORY", "IDLE_DAEMON, RECOVER" })
+			"OTHER_TARGET, UNASKED", "MISSING_EVENT, ORDER", "LOST_RESPONSE, LOST", "DENIAL, DENIED",
+			"HIDDEN_KILL, ENDED", "LARGE_MEMORY, MEMORY", "IDLE_DAEMON, RECOVER" })
 	void plantedFaultIsFound(PlantedFault planted, Promise promise) throws IOException {
-		SoakSettings settings = settings("--minutes=0.02", "--processes=2", "--only=STORE_HISTORY", "--stop-at-first");
+		SoakSettings settings = settings("--minutes=0.02", "--processes=2", "--callers=8", "--only=STORE_HISTORY",
+				"--stop-at-first");
 		settings.planted = planted;
 		try (Soak soak = new Soak(settings, this.folder)) {
 			SoakResult result = soak.run();
@@ -81,4 +82,14 @@
 		assertKeepsPromises(settings("--minutes=0.02", "--processes=2", "--only=STORE_HISTORY"));
 	}
 
+	// Guards against a run whose requests are refused, which would keep every promise.
+	@Test
+	void allKindsOfRequestsAreServedWithoutFault() throws IOException {
+		try (Soak soak = new Soak(settings("--minutes=0.02", "--processes=1", "--only=STORE_HISTORY"), this.folder)) {
+			SoakResult result = soak.run();
+			assertThat(result.requests()).containsOnlyKeys(RequestKind.values());
+			assertThat(result.requests().values()).allMatch((outcomes) -> outcomes.containsKey(Outcome.SUCCESS));
+		}
+	}
+
 }
