Fail the soak when one of its callers has failed

Cause: by reading. A length beyond 2^31 made the reader throw an exception that no one caught; the caller's thread ended, and with it its checks.

Change: such a length is malformed; a caller that has ended early fails the soak.

Conclusion: checks do not end in silence.

--- a/soak/src/main/java/org/celeryhill/soak/HttpReader.java
+++ b/soak/src/main/java/org/celeryhill/soak/HttpReader.java
@@ -102,11 +102,15 @@
 
 	private static int parse(String number, int radix) throws ProtocolException {
 		try {
-			return Integer.parseUnsignedInt(number, radix);
+			int length = Integer.parseInt(number, radix);
+			if (length >= 0) {
+				return length;
+			}
 		}
 		catch (NumberFormatException ex) {
-			throw new ProtocolException("not a length: " + number);
+			// Fails below.
 		}
+		throw new ProtocolException("not a length: " + number);
 	}
 
 	private void requireEmptyLine() throws IOException {
--- a/soak/src/main/java/org/celeryhill/soak/Soak.java
+++ b/soak/src/main/java/org/celeryhill/soak/Soak.java
@@ -153,6 +153,9 @@
 	}
 
 	private void endCallers(List<Thread> callers) {
+		if (!callers.stream().allMatch(Thread::isAlive)) {
+			throw new IllegalStateException("a caller has failed, see its stack trace");
+		}
 		this.isEnding = true;
 		try {
 			for (Thread caller : callers) {
