Count requests that a stopping daemon read but did not pass on

Cause: a stop that had ended by the time its caller saw the cut counted as no stop; requests that were read but not passed on were not seen at all.

Change: a cut belongs to a planned stop also if the daemon has started again since the request. Requests that were cut off later than loss_slack_ms in a planned stop without being passed on are counted and printed, but not judged: a daemon that gets no processor time may not have read them, and the soak cannot tell.

Conclusion: the count has to be seen on a quiet machine before it is a check.

--- a/soak/src/main/java/org/celeryhill/soak/Bounds.java
+++ b/soak/src/main/java/org/celeryhill/soak/Bounds.java
@@ -17,6 +17,9 @@
 	/** Memory of a host. */
 	static final long MEMORY_KB = 430 * 1000;
 
+	/** Time after which a request that is cut off had been read. */
+	static final long LOSS_SLACK_MILLIS = 200;
+
 	/** Requests that may be cut off by a host without disruption or planned stop. */
 	static final int UNPLANNED_CUTS = 3;
 
--- a/soak/src/main/java/org/celeryhill/soak/Caller.java
+++ b/soak/src/main/java/org/celeryhill/soak/Caller.java
@@ -140,7 +140,7 @@
 		catch (IOException ex) {
 			sent.addEvent(this.site.clock().seconds(), "cut: " + ex);
 			this.cuts.add(new CutCheck.Cut(sent, daemon, sentNanos, this.site.clock().nanos(), deadline,
-					daemon.isStopping()));
+					daemon.isStoppedSince(sentNanos)));
 			disconnect();
 			return Outcome.CUT;
 		}
--- a/soak/src/main/java/org/celeryhill/soak/CutCheck.java
+++ b/soak/src/main/java/org/celeryhill/soak/CutCheck.java
@@ -7,7 +7,7 @@
 /**
  * Check of requests that were cut off after they had been passed on to a server. A cut is
  * excused at the deadline, if the daemon was killed or paused, or if a server failed.
- * Requests that were read but not passed on are not checked. Thread-safe.
+ * Requests that were read but not passed on are only counted. Thread-safe.
  */
 final class CutCheck {
 
@@ -40,6 +40,20 @@
 		}
 	}
 
+	/**
+	 * Counts the requests that a daemon in a planned stop cut off although it must have
+	 * read them, and that it had not passed on. Not judged, as a daemon that gets no
+	 * processor time may not have read them.
+	 * @return the number of requests
+	 */
+	synchronized long countReadInStop() {
+		return this.cuts.stream()
+			.filter((cut) -> cut.isStopping() && !cut.request().hasArrived() && !cut.isAtDeadline())
+			.filter((cut) -> cut.endNanos() - cut.sentNanos() > TimeUnit.MILLISECONDS.toNanos(Bounds.LOSS_SLACK_MILLIS))
+			.filter((cut) -> !cut.daemon().wasDisturbed(cut.sentNanos(), cut.endNanos()))
+			.count();
+	}
+
 	private static boolean isExcused(Cut cut) {
 		return cut.isAtDeadline() || !cut.request().hasArrived() || cut.request().isServerUnsound()
 				|| cut.daemon().wasDisturbed(cut.sentNanos(), cut.endNanos());
@@ -53,7 +67,7 @@
 	 * @param sentNanos the time at which it was sent
 	 * @param endNanos the time at which the connection ended
 	 * @param deadlineMillis its deadline, in milliseconds after it was sent
-	 * @param isStopping whether the daemon had got SIGTERM
+	 * @param isStopping whether the daemon was in a planned stop
 	 */
 	record Cut(RequestRecord request, EdgeProcess daemon, long sentNanos, long endNanos, int deadlineMillis,
 			boolean isStopping) {
--- a/soak/src/main/java/org/celeryhill/soak/EdgeProcess.java
+++ b/soak/src/main/java/org/celeryhill/soak/EdgeProcess.java
@@ -42,6 +42,8 @@
 
 	private long restartMillis;
 
+	private long startNanos;
+
 	private boolean isStopping;
 
 	private boolean isKilled;
@@ -85,6 +87,7 @@
 		try {
 			Process started = this.command.start(this.settings, this.log);
 			this.process = started;
+			this.startNanos = this.context.clock().nanos();
 			started.onExit().thenAccept(this::handleExit);
 		}
 		catch (IOException ex) {
@@ -198,6 +201,15 @@
 		return this.isStopping;
 	}
 
+	/**
+	 * Returns whether the daemon is in a planned stop, or has started again since a time.
+	 * @param sinceNanos the time
+	 * @return whether it is or has
+	 */
+	synchronized boolean isStoppedSince(long sinceNanos) {
+		return this.isStopping || this.startNanos > sinceNanos;
+	}
+
 	/**
 	 * Returns the id of the process.
 	 * @return the id, or -1 if it does not run
--- a/soak/src/main/java/org/celeryhill/soak/Report.java
+++ b/soak/src/main/java/org/celeryhill/soak/Report.java
@@ -33,6 +33,7 @@
 		new TreeMap<>(result.requests())
 			.forEach((kind, outcomes) -> this.out.println("requests " + kind + ": " + outcomes));
 		this.out.println("failed connects: " + result.failedConnects());
+		this.out.println("cut in a planned stop, read but not passed on: " + result.readInStop());
 		this.out.println("faults: " + new TreeMap<>(result.faults()));
 		for (Promise promise : Promise.values()) {
 			this.out.println("promise " + promise + ": " + result.violationCount(promise) + " violations");
--- a/soak/src/main/java/org/celeryhill/soak/Soak.java
+++ b/soak/src/main/java/org/celeryhill/soak/Soak.java
@@ -86,7 +86,8 @@
 		this.cuts.run();
 		memoryChecks.dispose();
 		return new SoakResult(this.violations.all(), this.tally.counts(), this.tally.failedConnects(),
-				this.ledger.runCount(), this.faults, this.clock.seconds() - start, memory.maxKilobytes());
+				this.ledger.runCount(), this.faults, this.clock.seconds() - start, this.cuts.countReadInStop(),
+				memory.maxKilobytes());
 	}
 
 	private List<Thread> startCallers() {
--- a/soak/src/main/java/org/celeryhill/soak/SoakResult.java
+++ b/soak/src/main/java/org/celeryhill/soak/SoakResult.java
@@ -13,10 +13,12 @@
  * @param runs the number of runs at servers
  * @param faults the faults that were injected by kind, not null
  * @param seconds the duration
+ * @param readInStop the requests that were cut off in a planned stop after they must have
+ * been read, but were not passed on
  * @param maxMemoryKilobytes the largest resident memory of a daemon
  */
 record SoakResult(List<Violation> violations, Map<RequestKind, Map<Outcome, Integer>> requests, int failedConnects,
-		int runs, Map<FaultKind, Integer> faults, double seconds, long maxMemoryKilobytes) {
+		int runs, Map<FaultKind, Integer> faults, double seconds, long readInStop, long maxMemoryKilobytes) {
 
 	SoakResult {
 		violations = List.copyOf(violations);
