Let more copies of the soak break off within the first lines of a head

Only a copy that ends after the status line and before the id is joined with the next response.

Change: a fifth of the copies ends within the first 40 bytes.

--- a/soak/src/main/java/org/celeryhill/soak/ServerBehaviour.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerBehaviour.java
@@ -131,7 +131,13 @@
 
 		static final Copy NONE = new Copy(Time.NEVER, 0, 0);
 
-		/** About the size of a head, within which every second broken copy ends. */
+		/**
+		 * About the size of a status line and the next header. A copy that ends there is
+		 * most likely to be joined with another response.
+		 */
+		private static final int FIRST_LINES_BYTES = 40;
+
+		/** About the size of a head. */
 		private static final int HEAD_BYTES = 200;
 
 		private static final int MAX_DELAY_MILLIS = 15;
@@ -139,7 +145,8 @@
 		static Copy draw(SplittableRandom random) {
 			Time[] times = { Time.AT_ONCE, Time.LATER, Time.WITH_NEXT, Time.WITH_NEXT };
 			Time time = times[random.nextInt(times.length)];
-			int[] lengths = { WHOLE, WHOLE, 1 + random.nextInt(HEAD_BYTES), 1 + random.nextInt(MAX_BODY_BYTES) };
+			int[] lengths = { WHOLE, WHOLE, 1 + random.nextInt(FIRST_LINES_BYTES), 1 + random.nextInt(HEAD_BYTES),
+					1 + random.nextInt(MAX_BODY_BYTES) };
 			return new Copy(time, lengths[random.nextInt(lengths.length)], random.nextInt(MAX_DELAY_MILLIS));
 		}
 
