Reject responses whose status line is not valid HTTP

Cause: the decoder of the HTTP library takes any integer for a status, any version, and blanks, tabs and empty lines in front of and between the parts of a status line; nothing behind it looks at the status but to ask whether it is a success, a refusal or interim. So 000, 099, 600 and 2000 were passed on, and 0200, +200 and HTTP/2.0 200 counted as 200, also in calls to engines, the store and other hosts. Change: the response decoder checks each line that it consumes of a head; a status line that RFC 9112 does not allow fails the exchange and resets the connection, like other bytes that are no response. The request may have run: 502, or another server where it may be sent again. A code of 600 and more is no response either (RFC 9110, section 15: to be treated as a failure of the server). Conclusion: the check sees the bytes, before any library has made a number of them, so that no path behind it can be missed.

--- a/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
@@ -5,12 +5,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Decodes the responses on a connection that carries one exchange at a time. Must be used
@@ -20,10 +25,14 @@
 
 	private static final int MAX_TEXT_BYTES = 60;
 
+	private final ResponseHeadCheck headCheck = new ResponseHeadCheck();
+
 	private boolean isHeadRequest;
 
 	private boolean isHeadIncomplete;
 
+	private boolean isReadingBody;
+
 	ResponseDecoder(HttpDecoderConfig config) {
 		super(config);
 	}
@@ -67,8 +76,43 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+		int start = buffer.readerIndex();
 		super.decode(ctx, buffer, out);
+		if (!this.isReadingBody && !hasFailed(out)) {
+			checkHead(buffer, start, out);
+		}
 		this.isHeadIncomplete &= out.isEmpty();
+		out.forEach(this::recordDecoded);
+	}
+
+	private static boolean hasFailed(List<Object> out) {
+		return out.stream()
+			.anyMatch((message) -> message instanceof HttpObject object && object.decoderResult().isFailure());
+	}
+
+	// The superclass consumes whole lines of a head, and nothing behind it.
+	private void checkHead(ByteBuf buffer, int start, List<Object> out) {
+		String lines = buffer.toString(start, buffer.readerIndex() - start, StandardCharsets.ISO_8859_1);
+		this.headCheck.findInvalidLine(lines).ifPresent((line) -> replaceByFailure(line, buffer, out));
+	}
+
+	private void replaceByFailure(String line, ByteBuf buffer, List<Object> out) {
+		buffer.skipBytes(buffer.readableBytes());
+		out.forEach(ReferenceCountUtil::release);
+		out.clear();
+		HttpMessage failure = createInvalidMessage();
+		String shownLine = line.substring(0, Math.min(MAX_TEXT_BYTES, line.length()));
+		failure.setDecoderResult(DecoderResult.failure(new DecoderException("invalid line in the head: " + shownLine)));
+		out.add(failure);
+	}
+
+	private void recordDecoded(Object message) {
+		if (message instanceof HttpResponse) {
+			this.isReadingBody = true;
+		}
+		if (message instanceof LastHttpContent) {
+			this.isReadingBody = false;
+		}
 	}
 
 	@Override
