Reject responses whose header lines are not valid HTTP

Cause: in a response the decoder ends a name at the first blank and skips what stands before the colon, and joins a line that begins with a blank to the one before it. So a line that is no header counts as another one: as the length, the signature, the id of the request, or as "not run", after which a request that ran was sent again. Control bytes in names and values were rejected by the decoder already. Change: the check of the head's lines covers header lines: a token, a colon right behind it, a value without control characters but tabs. RFC 9112 asks a proxy to remove a blank in front of the colon before it forwards a response (5.1), and to remove a folded line or answer 502 (5.2); such a response is not forwarded. Conclusion: a line means to this host what its bytes say, or the response is none.

--- a/base/src/main/java/org/celeryhill/base/ResponseHeadSyntax.java
+++ b/base/src/main/java/org/celeryhill/base/ResponseHeadSyntax.java
@@ -16,6 +16,8 @@
 
 	private static final int MAX_STATUS = 599;
 
+	private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+
 	private ResponseHeadSyntax() {
 	}
 
@@ -52,6 +54,32 @@
 		return status >= MIN_STATUS && status <= MAX_STATUS;
 	}
 
+	/**
+	 * Returns whether a line is a header. A line that begins with a blank and continues
+	 * the line before it, which is obsolete, is none.
+	 * @param line the line without its end, not null
+	 * @return whether it has a name, a colon right behind it and a value
+	 */
+	public static boolean isHeaderLine(String line) {
+		int colon = line.indexOf(':');
+		return colon > 0 && isHeaderName(line.substring(0, colon)) && isText(line.substring(colon + 1));
+	}
+
+	/**
+	 * Returns whether a text can be the name of a header.
+	 * @param name the text, not null
+	 * @return whether it is a token: not empty, without blanks, control characters and
+	 * delimiters
+	 */
+	public static boolean isHeaderName(String name) {
+		return !name.isEmpty() && name.chars().allMatch((character) -> isTokenCharacter((char) character));
+	}
+
+	private static boolean isTokenCharacter(char character) {
+		return isDigit(character) || (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+				|| TOKEN_SYMBOLS.indexOf(character) >= 0;
+	}
+
 	/**
 	 * Returns whether a text can be a reason phrase or the value of a header.
 	 * @param text the text, not null
--- a/forward/src/main/java/org/celeryhill/forward/ResponseHeadCheck.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseHeadCheck.java
@@ -42,7 +42,7 @@
 		}
 		// An empty line ends the head.
 		this.isStatusLineNext = line.isEmpty();
-		return true;
+		return line.isEmpty() || ResponseHeadSyntax.isHeaderLine(line);
 	}
 
 }
--- a/forward/src/test/java/org/celeryhill/forward/MalformedResponseHeadTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/MalformedResponseHeadTests.java
@@ -1,7 +1,9 @@
 package org.celeryhill.forward;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -10,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -135,6 +138,74 @@
 		assertThat(callServerThatSendsBytewise(response)).startsWith("HTTP/1.1 " + expected).endsWith(BODY);
 	}
 
+	static Stream<String> invalidHeaderLines() {
+		Stream<String> names = IntStream.concat(IntStream.rangeClosed(0, ' '), IntStream.of(0x7f, 0x85, 0xa0))
+			.filter((character) -> character != '\n')
+			.mapToObj((character) -> String.valueOf((char) character))
+			.flatMap((character) -> Stream.of("x" + character + "y: v", "x" + character + ": v", character + "x: v",
+					"content" + character + "length: 3"));
+		Stream<String> values = IntStream.concat(IntStream.range(0, ' '), IntStream.of(0x7f))
+			.filter((character) -> character != '\n' && character != '\t')
+			.mapToObj((character) -> "x: v" + (char) character + "w");
+		Stream<String> others = Stream.of(": v", "x", "x(y): v", "x/y: v", "\"x\": v", "content-length x: 3",
+				"content-length : 3", "content-length\t: 3", " content-length: 3", "\tcontent-length: 3",
+				"transfer-encoding x: chunked", " transfer-encoding: chunked", "connection x: close", "id x: r2");
+		return Stream.of(names, values, others).flatMap(Function.identity());
+	}
+
+	// Guards against a line that reaches the caller as it is or under a shorter name, and
+	// against a body whose end is found by it.
+	@ParameterizedTest(name = "{index}")
+	@MethodSource("invalidHeaderLines")
+	void responseWithInvalidHeaderLineIsNotPassedOn(String line) throws Exception {
+		String withoutLength = "signed: s\r\nid: r1\r\n";
+		for (String head : List.of(line + "\r\n" + HEADERS, HEADERS + line + "\r\n", line + "\r\n" + withoutLength,
+				withoutLength + line + "\r\n")) {
+			assertThat(callServerThatSends(STATUS_LINE + head + "\r\n" + BODY)).as(head)
+				.startsWith("HTTP/1.1 502")
+				.doesNotContain("who");
+		}
+	}
+
+	// Guards against a success without signature that is passed on, an id that is taken
+	// for the request's, and a request that is sent again although it ran.
+	@ParameterizedTest
+	@CsvSource({ "200, id: r1, signed x: s", "200, signed: s, id x: r1", "503, id: r1, not-run x: 1",
+			"503, id: r1, not-run : 1" })
+	void invalidHeaderLineIsNotReadAsAnother(int status, String validLine, String invalidLine) throws Exception {
+		AtomicInteger sends = new AtomicInteger();
+		String response = callServer((request, connection) -> {
+			sends.incrementAndGet();
+			connection.send("HTTP/1.1 " + status + " Status\r\n" + validLine + "\r\n" + invalidLine
+					+ "\r\ncontent-length: 5\r\n\r\n" + BODY);
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(BODY);
+		assertThat(sends).hasValue(1);
+	}
+
+	// Guards against an interim response with such a line, whose end is not where the
+	// decoder finds it.
+	@Test
+	void invalidHeaderLineOfInterimResponseEndsExchange() throws Exception {
+		assertThat(callServerThatSends(
+				"HTTP/1.1 103 Early Hints\r\nx y: v\r\n\r\n" + STATUS_LINE + HEADERS + "\r\n" + BODY))
+			.startsWith("HTTP/1.1 502")
+			.doesNotContain(BODY);
+	}
+
+	// Guards against sound headers that are rejected or changed.
+	@ParameterizedTest(name = "{index}")
+	@ValueSource(strings = { "X-Any: v", "x:v", "x:  v", "x: v w", "x: v\tw", "x: \u00e9\u00e8", "x: a:b", "x: ",
+			"!#$%&'*+-.^_`|~09az: v", "x: \"quoted, (text)\"" })
+	void responseWithValidHeaderLineIsPassedOn(String line) throws Exception {
+		String name = line.substring(0, line.indexOf(':'));
+		String value = line.substring(name.length() + 1).strip();
+		String response = STATUS_LINE + line + "\r\n" + HEADERS + "\r\n" + BODY;
+		String expected = "\r\n" + name + ": " + value + "\r\n";
+		assertThat(callServerThatSends(response)).startsWith(STATUS_LINE).contains(expected).endsWith(BODY);
+		assertThat(callServerThatSendsBytewise(response)).startsWith(STATUS_LINE).contains(expected).endsWith(BODY);
+	}
+
 	private String callServerThatSends(String response) throws Exception {
 		return callServer((request, connection) -> {
 			connection.send(response);
