Find invalid status lines within the head of another response

What callers would see: a success where the engine answered with an invalid status line: the copy of an earlier success that breaks off within its head takes up what follows, with the id and the signature of the run. Cause: the search for the status line of another response in a head looked for valid ones only (HTTP/1, codes from 100 on), so that "HTTP/1.1 000" within a reason phrase or a header value was not seen. Change: the search takes any version and any three digits.

--- a/forward/src/main/java/org/celeryhill/forward/ResponseHeads.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseHeads.java
@@ -13,7 +13,8 @@
  */
 final class ResponseHeads {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9][0-9]{2}(?![0-9]).*");
+	/** Also those that are not valid, as they too are the start of a response. */
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}.*");
 
 	private ResponseHeads() {
 	}
@@ -72,7 +73,7 @@
 	}
 
 	private static Optional<String> findStatusLine(String value) {
-		if (!value.contains("HTTP/1.")) {
+		if (!value.contains("HTTP/")) {
 			return Optional.empty();
 		}
 		Matcher matcher = STATUS_LINE.matcher(value);
--- a/forward/src/test/java/org/celeryhill/forward/MalformedResponseHeadTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/MalformedResponseHeadTests.java
@@ -138,6 +138,20 @@
 		assertThat(callServerThatSendsBytewise(response)).startsWith("HTTP/1.1 " + expected).endsWith(BODY);
 	}
 
+	// Guards against a success in place of an answer with an invalid status line: the
+	// copy
+	// of an earlier success that breaks off within its head takes it up.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 2000 Odd", "HTTP/2.0 500 Odd" })
+	void partOfCopyBeforeInvalidStatusLineDoesNotMakeItSuccess(String line) throws Exception {
+		String copy = STATUS_LINE + HEADERS + "\r\n" + BODY;
+		for (int length = 1; length < (STATUS_LINE + HEADERS).length(); length++) {
+			String part = copy.substring(0, length);
+			assertThat(callServerThatSends(part + line + "\r\n" + HEADERS + "\r\n" + BODY)).as(part)
+				.startsWith("HTTP/1.1 502");
+		}
+	}
+
 	static Stream<String> invalidHeaderLines() {
 		Stream<String> names = IntStream.concat(IntStream.rangeClosed(0, ' '), IntStream.of(0x7f, 0x85, 0xa0))
 			.filter((character) -> character != '\n')
