Reject responses with a transfer encoding other than chunked

What callers would see: a body that is not the engine's, in a coding such as gzip, or with the bytes that delimit its chunks. Cause: the decoder reads "gzip, chunked" as chunked and any other encoding as a body up to the end of the connection or of its length; the header applies to one connection and is not forwarded, so that callers did not learn of the coding. Change: a response with a transfer encoding fails its exchange unless it is chunked alone, as RFC 9112 (6.1) lets no server use one that was not asked for. Conclusion: same class: a head that is read as less than it says.

--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -178,6 +178,11 @@
 			failMixedHead(head, embedded.get());
 			return false;
 		}
+		Optional<String> unknownEncoding = ResponseHeads.findUnknownTransferEncoding(head);
+		if (unknownEncoding.isPresent()) {
+			failExchange("response has an unknown transfer encoding: " + unknownEncoding.get());
+			return false;
+		}
 		this.isInformational = head.status().code() / 100 == 1;
 		if (this.isInformational) {
 			countInterimResponse();
--- a/forward/src/main/java/org/celeryhill/forward/ResponseHeads.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseHeads.java
@@ -1,11 +1,14 @@
 package org.celeryhill.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
@@ -40,6 +43,17 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Finds a transfer encoding other than chunked, which no request asks for.
+	 * @param head the status line and headers, not null
+	 * @return the values of the header, empty if it is missing or names chunked only
+	 */
+	static Optional<String> findUnknownTransferEncoding(HttpResponse head) {
+		List<String> values = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		boolean isChunked = values.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(values.get(0));
+		return (values.isEmpty() || isChunked) ? Optional.empty() : Optional.of(String.join(", ", values));
+	}
+
 	/**
 	 * Returns whether a body holds the head of a response to the request that it answers.
 	 * A body that breaks off is filled up with the head that follows it.
--- a/forward/src/test/java/org/celeryhill/forward/MalformedResponseHeadTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/MalformedResponseHeadTests.java
@@ -220,6 +220,27 @@
 		assertThat(callServerThatSendsBytewise(response)).startsWith(STATUS_LINE).contains(expected).endsWith(BODY);
 	}
 
+	// Guards against a body in a coding that the caller does not learn of, as the header
+	// that names it applies to one connection only.
+	@ParameterizedTest
+	@ValueSource(strings = { "gzip, chunked", "gzip,chunked", "chunked, chunked", "gzip\r\ntransfer-encoding: chunked",
+			"chunked, gzip", "gzip", "chunkedx", "x, chunked;q=1", "chunked;q=1" })
+	void responseWithUnknownTransferEncodingIsNotPassedOn(String value) throws Exception {
+		String head = STATUS_LINE + "signed: s\r\nid: r1\r\ntransfer-encoding: " + value + "\r\n\r\n";
+		assertThat(callServerThatSends(head + "5\r\n" + BODY + "\r\n0\r\n\r\n")).startsWith("HTTP/1.1 502");
+		assertThat(callServerThatSends(head + BODY)).startsWith("HTTP/1.1 502");
+	}
+
+	// Guards against chunked responses that are rejected.
+	@ParameterizedTest
+	@ValueSource(strings = { "chunked", "Chunked", "chunked  " })
+	void chunkedResponseIsPassedOn(String value) throws Exception {
+		assertThat(callServerThatSends(STATUS_LINE + "signed: s\r\nid: r1\r\ntransfer-encoding: " + value
+				+ "\r\n\r\n5\r\n" + BODY + "\r\n0\r\n\r\n"))
+			.startsWith(STATUS_LINE)
+			.endsWith("\r\n\r\n" + BODY);
+	}
+
 	private String callServerThatSends(String response) throws Exception {
 		return callServer((request, connection) -> {
 			connection.send(response);
