Reject invalid status lines in the clients of the http module

What callers would see: the entry daemon passed on an answer of a plain service with status 000, 099 or 600, as the edge daemon did; a negative status ended the call with an exception. Cause: OkHttp takes any integer of three characters for a status, and any reason phrase; nothing behind it looks at the range. Undertow's client takes any version (a stream counts by its status, so that 000 was a failure there before). Change: a network interceptor fails calls whose status is none of a final response or whose reason phrase has control characters, and closes their connections; the outcome is unknown. The operator's command line uses it too. Streams need HTTP/1.0 or 1.1. What remains: OkHttp reads "ICY 200 OK" as HTTP/1.0 200, which nothing behind it can see. Conclusion: the same rule for the status in each client of the product.

--- a/cli/src/main/java/org/celeryhill/cli/AdminClient.java
+++ b/cli/src/main/java/org/celeryhill/cli/AdminClient.java
@@ -8,6 +8,7 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.celeryhill.http.ResponseHeadInterceptor;
 
 /**
  * Reads pages from the admin port of a daemon. Not thread-safe.
@@ -45,7 +46,7 @@
 		if (!parameter.isEmpty()) {
 			url.addQueryParameter(parameter, value);
 		}
-		OkHttpClient client = new OkHttpClient();
+		OkHttpClient client = new OkHttpClient.Builder().addNetworkInterceptor(new ResponseHeadInterceptor()).build();
 		try (Response response = client.newCall(new Request.Builder().url(url.build()).build()).execute()) {
 			String body = response.body().string();
 			this.lastFailure = "status " + response.code() + ": " + body;
--- a/http/src/main/java/org/celeryhill/http/HttpRequestSender.java
+++ b/http/src/main/java/org/celeryhill/http/HttpRequestSender.java
@@ -51,6 +51,7 @@
 			.proxy(java.net.Proxy.NO_PROXY)
 			.eventListenerFactory(SendTracker.createListenerFactory())
 			.addNetworkInterceptor(HttpRequestSender::preventAutomaticRetry)
+			.addNetworkInterceptor(new ResponseHeadInterceptor())
 			.connectTimeout(settings.connectTimeout())
 			.readTimeout(Duration.ZERO)
 			.writeTimeout(settings.responseTimeout())
@@ -99,6 +100,10 @@
 			String reason = describe(ex);
 			return tracker.isPossiblySent() ? new Unknown(reason) : new NotSent(reason);
 		}
+		catch (IllegalStateException ex) {
+			// OkHttp accepts a negative status and fails to create the response.
+			return new Unknown("response is not valid HTTP: " + ex.getMessage());
+		}
 	}
 
 	private static boolean isDelimitedByClose(Response response) {
--- /dev/null
+++ b/http/src/main/java/org/celeryhill/http/ResponseHeadInterceptor.java
@@ -0,0 +1,49 @@
+package org.celeryhill.http;
+
+import java.io.IOException;
+import java.net.ProtocolException;
+import java.util.Optional;
+
+import okhttp3.Interceptor;
+import okhttp3.Response;
+import org.celeryhill.base.ResponseHeadSyntax;
+
+/**
+ * Fails calls whose responses have heads that are not valid HTTP but accepted by OkHttp.
+ * Must be used as a network interceptor. Stateless and thread-safe.
+ */
+public final class ResponseHeadInterceptor implements Interceptor {
+
+	/**
+	 * Interim responses do not reach interceptors, and no request asks for an upgrade.
+	 */
+	private static final int MIN_FINAL_STATUS = 200;
+
+	/**
+	 * Receives the response of a call and checks its head.
+	 * @param chain the interceptor chain, not null
+	 * @return the response, never null
+	 * @throws IOException if the call fails, or its response is not valid; the connection
+	 * is closed then
+	 */
+	@Override
+	public Response intercept(Chain chain) throws IOException {
+		Response response = chain.proceed(chain.request());
+		Optional<String> fault = findFault(response);
+		if (fault.isPresent()) {
+			chain.connection().socket().close();
+			response.close();
+			throw new ProtocolException("response is not valid HTTP: " + fault.get());
+		}
+		return response;
+	}
+
+	private static Optional<String> findFault(Response response) {
+		boolean isFinal = response.code() >= MIN_FINAL_STATUS && ResponseHeadSyntax.isStatus(response.code());
+		if (!isFinal || !ResponseHeadSyntax.isText(response.message())) {
+			return Optional.of("status " + response.code() + " " + response.message());
+		}
+		return Optional.empty();
+	}
+
+}
--- a/http/src/main/java/org/celeryhill/http/StreamCall.java
+++ b/http/src/main/java/org/celeryhill/http/StreamCall.java
@@ -1,6 +1,7 @@
 package org.celeryhill.http;
 
 import java.io.IOException;
+import java.net.ProtocolException;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Map;
@@ -9,9 +10,11 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -115,11 +118,20 @@
 
 	private void readHead(ClientExchange exchange) {
 		this.source = exchange.getResponseChannel();
-		this.listener.onHead(exchange.getResponse().getResponseCode(), exchange.getResponse().getResponseHeaders());
+		ClientResponse response = exchange.getResponse();
+		if (!isHttp1(response)) {
+			abort(new ProtocolException("response is not valid HTTP: version " + response.getProtocol()));
+			return;
+		}
+		this.listener.onHead(response.getResponseCode(), response.getResponseHeaders());
 		this.source.getReadSetter().set((ignored) -> readBody());
 		readBody();
 	}
 
+	private static boolean isHttp1(ClientResponse response) {
+		return Protocols.HTTP_1_1.equals(response.getProtocol()) || Protocols.HTTP_1_0.equals(response.getProtocol());
+	}
+
 	private void readBody() {
 		try (PooledByteBuffer pooled = this.connection.getBufferPool().allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
