Reject invalid header lines in the clients of the http module

What callers would see: an answer of a plain service with a header whose name holds a blank or a control byte, or with a line without a colon, passed on by the entry daemon as it was; a body whose length such a line names was read to the end of the connection. Cause: OkHttp checks neither names nor values of headers that it receives. Change: the interceptor requires a token for each name and no control characters but tabs in values. Undertow's client, which reads streams, rejects such lines already; it joins a line that begins with a blank to the header before it, which RFC 9112 (5.2) allows where the head is not forwarded, and tests hold that this changes no event and no outcome. Conclusion: the same rule for headers in each client of the product.

--- a/http/src/main/java/org/celeryhill/http/ResponseHeadInterceptor.java
+++ b/http/src/main/java/org/celeryhill/http/ResponseHeadInterceptor.java
@@ -4,6 +4,7 @@
 import java.net.ProtocolException;
 import java.util.Optional;
 
+import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.Response;
 import org.celeryhill.base.ResponseHeadSyntax;
@@ -43,6 +44,18 @@
 		if (!isFinal || !ResponseHeadSyntax.isText(response.message())) {
 			return Optional.of("status " + response.code() + " " + response.message());
 		}
+		return findInvalidHeader(response.headers()).map((name) -> "header " + name);
+	}
+
+	// OkHttp keeps a line without a colon as the value of an empty name.
+	private static Optional<String> findInvalidHeader(Headers headers) {
+		for (int i = 0; i < headers.size(); i++) {
+			boolean isValid = ResponseHeadSyntax.isHeaderName(headers.name(i))
+					&& ResponseHeadSyntax.isText(headers.value(i));
+			if (!isValid) {
+				return Optional.of(headers.name(i));
+			}
+		}
 		return Optional.empty();
 	}
 
--- a/http/src/main/java/org/celeryhill/http/StreamCall.java
+++ b/http/src/main/java/org/celeryhill/http/StreamCall.java
@@ -119,7 +119,7 @@
 	private void readHead(ClientExchange exchange) {
 		this.source = exchange.getResponseChannel();
 		ClientResponse response = exchange.getResponse();
-		if (!isHttp1(response)) {
+		if (!isHttp1(response.getProtocol())) {
 			abort(new ProtocolException("response is not valid HTTP: version " + response.getProtocol()));
 			return;
 		}
@@ -128,8 +128,8 @@
 		readBody();
 	}
 
-	private static boolean isHttp1(ClientResponse response) {
-		return Protocols.HTTP_1_1.equals(response.getProtocol()) || Protocols.HTTP_1_0.equals(response.getProtocol());
+	private static boolean isHttp1(HttpString protocol) {
+		return Protocols.HTTP_1_1.equals(protocol) || Protocols.HTTP_1_0.equals(protocol);
 	}
 
 	private void readBody() {
--- a/http/src/test/java/org/celeryhill/http/MalformedResponseHeadTests.java
+++ b/http/src/test/java/org/celeryhill/http/MalformedResponseHeadTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import okhttp3.OkHttpClient;
@@ -63,6 +64,57 @@
 		assertBroken(generateEvents(line + "\r\n\r\n"));
 	}
 
+	static Stream<String> invalidHeaderLines() {
+		Stream<String> names = IntStream.concat(IntStream.rangeClosed(0, ' '), IntStream.of(0x7f))
+			.filter((character) -> character != '\n')
+			.mapToObj((character) -> String.valueOf((char) character))
+			.flatMap((character) -> Stream.of("x" + character + "y: v", "x" + character + ": v", character + "x: v"));
+		Stream<String> others = Stream.of(": v", "x", "x(y): v", "x: v\u0000w", "x: v\u0001w", "x: v\rw",
+				"Content-Length x: 3", "Content-Length : 3", " Content-Length: 3", "Transfer-Encoding x: chunked",
+				"Content-Encoding x: gzip", "X-Execution x: not_run");
+		return Stream.concat(names, others);
+	}
+
+	// Guards against a line that reaches the caller as a header, and against a body whose
+	// end is found by it.
+	@ParameterizedTest(name = "{index}")
+	@MethodSource("invalidHeaderLines")
+	void responseWithInvalidHeaderLineIsUnknown(String line) throws IOException {
+		assertThat(call(STATUS_LINE + line + "\r\nX-Any: v\r\n\r\nwhole")).isInstanceOf(PlainService.CallUnknown.class);
+		assertThat(call(STATUS_LINE + "X-Any: v\r\n" + line + "\r\n\r\nwhole"))
+			.isInstanceOf(PlainService.CallUnknown.class);
+	}
+
+	// Guards against a stream with such a line. Those that begin with a blank and
+	// continue
+	// a header are joined to it, see below.
+	@ParameterizedTest(name = "{index}")
+	@MethodSource("invalidHeaderLines")
+	void streamWithInvalidHeaderLineIsBroken(String line) throws IOException {
+		assertBroken(generateEvents(STATUS_LINE + line + "\r\nX-Any: v\r\n\r\n"));
+		if (!line.startsWith(" ") && !line.startsWith("\t")) {
+			assertBroken(generateEvents(STATUS_LINE + "X-Any: v\r\n" + line + "\r\n\r\n"));
+		}
+	}
+
+	// Guards against a stream whose events or outcome depend on a line that begins with a
+	// blank. Undertow joins it to the line before it, which RFC 9112, section 5.2, allows
+	// where the head is not forwarded.
+	@ParameterizedTest(name = "{index}")
+	@ValueSource(strings = { " Content-Length: 3", "\tTransfer-Encoding: chunked", " Content-Encoding: gzip", " x: v" })
+	void foldedHeaderLineDoesNotChangeStream(String line) throws IOException {
+		String lines = "X-Any: v\r\n" + line + "\r\n\r\n";
+		assertThat(generateEvents(STATUS_LINE + lines)).hasSize(2).last().isInstanceOf(GenerateEvent.End.class);
+		assertBroken(generateEvents("HTTP/1.1 503 Full\r\n" + lines));
+	}
+
+	// Guards against a stream that counts as refused because of such a line.
+	@ParameterizedTest
+	@ValueSource(strings = { " X-Execution: not_run", "\tX-Execution: not_run", "X-Any: v\r\n X-Execution: not_run" })
+	void foldedHeaderLineDoesNotMakeStreamRefused(String lines) throws IOException {
+		assertBroken(generateEvents("HTTP/1.1 503 Full\r\n" + lines + "\r\n\r\n"));
+	}
+
 	// Guards against another request on a connection that has carried such a response.
 	@Test
 	void connectionIsClosedAfterInvalidStatusLine() throws Exception {
