Reject unknown transfer encodings and invalid lengths in the http module

What callers would see: a body with the bytes that delimit its chunks or in a coding that they do not learn of, or one of two lengths that contradict each other. Cause: OkHttp reads any transfer encoding but chunked as none, and the last of several lengths; a length that it cannot read counts as none. Undertow's client reads "gzip, chunked" as a stream without coding. Change: the interceptor requires chunked alone, and a single length in digits; streams require chunked alone.

--- a/http/src/main/java/org/celeryhill/http/ResponseHeadInterceptor.java
+++ b/http/src/main/java/org/celeryhill/http/ResponseHeadInterceptor.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ProtocolException;
+import java.util.List;
 import java.util.Optional;
 
 import okhttp3.Headers;
@@ -20,6 +21,10 @@
 	 */
 	private static final int MIN_FINAL_STATUS = 200;
 
+	private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+
+	private static final String CONTENT_LENGTH = "Content-Length";
+
 	/**
 	 * Receives the response of a call and checks its head.
 	 * @param chain the interceptor chain, not null
@@ -44,7 +49,8 @@
 		if (!isFinal || !ResponseHeadSyntax.isText(response.message())) {
 			return Optional.of("status " + response.code() + " " + response.message());
 		}
-		return findInvalidHeader(response.headers()).map((name) -> "header " + name);
+		return findInvalidHeader(response.headers()).or(() -> findInvalidFraming(response.headers()))
+			.map((name) -> "header " + name);
 	}
 
 	// OkHttp keeps a line without a colon as the value of an empty name.
@@ -59,4 +65,16 @@
 		return Optional.empty();
 	}
 
+	private static Optional<String> findInvalidFraming(Headers headers) {
+		if (!hasAtMostOne(headers, TRANSFER_ENCODING, "(?i)chunked")) {
+			return Optional.of(TRANSFER_ENCODING);
+		}
+		return hasAtMostOne(headers, CONTENT_LENGTH, "[0-9]{1,18}") ? Optional.empty() : Optional.of(CONTENT_LENGTH);
+	}
+
+	private static boolean hasAtMostOne(Headers headers, String name, String pattern) {
+		List<String> values = headers.values(name);
+		return values.isEmpty() || (values.size() == 1 && values.get(0).matches(pattern));
+	}
+
 }
--- a/http/src/main/java/org/celeryhill/http/StreamCall.java
+++ b/http/src/main/java/org/celeryhill/http/StreamCall.java
@@ -12,6 +12,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
@@ -123,6 +124,10 @@
 			abort(new ProtocolException("response is not valid HTTP: version " + response.getProtocol()));
 			return;
 		}
+		if (!isTransferEncodingKnown(response.getResponseHeaders().get(Headers.TRANSFER_ENCODING))) {
+			abort(new ProtocolException("response has an unknown transfer encoding"));
+			return;
+		}
 		this.listener.onHead(response.getResponseCode(), response.getResponseHeaders());
 		this.source.getReadSetter().set((ignored) -> readBody());
 		readBody();
@@ -132,6 +137,11 @@
 		return Protocols.HTTP_1_1.equals(protocol) || Protocols.HTTP_1_0.equals(protocol);
 	}
 
+	// The values are null if the header is missing.
+	private static boolean isTransferEncodingKnown(HeaderValues values) {
+		return values == null || (values.size() == 1 && values.getFirst().equalsIgnoreCase("chunked"));
+	}
+
 	private void readBody() {
 		try (PooledByteBuffer pooled = this.connection.getBufferPool().allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
--- a/http/src/test/java/org/celeryhill/http/MalformedResponseHeadTests.java
+++ b/http/src/test/java/org/celeryhill/http/MalformedResponseHeadTests.java
@@ -115,6 +115,31 @@
 		assertBroken(generateEvents("HTTP/1.1 503 Full\r\n" + lines + "\r\n\r\n"));
 	}
 
+	// Guards against a body in a coding that its reader does not learn of.
+	@ParameterizedTest
+	@ValueSource(strings = { "gzip, chunked", "gzip", "chunked, chunked", "chunked\r\nTransfer-Encoding: gzip" })
+	void unknownTransferEncodingIsRejected(String value) throws IOException {
+		String head = STATUS_LINE + "Transfer-Encoding: " + value + "\r\n\r\n";
+		assertThat(call(head + "5\r\nwhole\r\n0\r\n\r\n")).isInstanceOf(PlainService.CallUnknown.class);
+		assertThat(call(head + "whole")).isInstanceOf(PlainService.CallUnknown.class);
+		assertBroken(generateEvents(head));
+	}
+
+	// Guards against a body whose length one header gives and another one denies.
+	@ParameterizedTest
+	@ValueSource(strings = { "3\r\nContent-Length: 5", "5\r\nContent-Length: 3", "5, 5", "5x", "+5", "", "-1" })
+	void invalidContentLengthIsRejected(String value) throws IOException {
+		assertThat(call(STATUS_LINE + "Content-Length: " + value + "\r\n\r\nwhole"))
+			.isInstanceOf(PlainService.CallUnknown.class);
+	}
+
+	// Guards against chunked responses that are rejected.
+	@Test
+	void chunkedResponseIsDelivered() throws IOException {
+		assertThat(call(STATUS_LINE + "Transfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"))
+			.isInstanceOf(PlainService.CallCompleted.class);
+	}
+
 	// Guards against another request on a connection that has carried such a response.
 	@Test
 	void connectionIsClosedAfterInvalidStatusLine() throws Exception {
