Let servers of the soak send malformed heads

Cause: nothing played the users' report on real daemons. Change: fault MALFORM: servers run requests and answer with status 000, with a blank or a control character in the name of a header, or with a line that gives a length up to such a blank. No response of such a run may reach a caller. The soak's reader requires valid header lines.

--- a/soak/src/main/java/org/celeryhill/soak/FaultKind.java
+++ b/soak/src/main/java/org/celeryhill/soak/FaultKind.java
@@ -78,6 +78,9 @@
 	/** Servers break off their responses. */
 	TRUNCATE(Scope.SERVERS, 2, 500, 4000),
 
+	/** Servers run requests and answer with a head that is not valid HTTP. */
+	MALFORM(Scope.SERVERS, 2, 500, 4000),
+
 	/** Servers work longer. */
 	SLOW(Scope.SERVERS, 1, 500, 3000),
 
--- a/soak/src/main/java/org/celeryhill/soak/HttpReader.java
+++ b/soak/src/main/java/org/celeryhill/soak/HttpReader.java
@@ -11,6 +11,8 @@
 import java.util.Locale;
 import java.util.Map;
 
+import org.celeryhill.base.ResponseHeadSyntax;
+
 /**
  * Reads the HTTP messages of one connection. Strict, so that bytes that are no message
  * are noticed. Not thread-safe.
@@ -38,10 +40,10 @@
 		}
 		Map<String, String> headers = new HashMap<>();
 		for (String header = requireLine(); !header.isEmpty(); header = requireLine()) {
-			int colon = header.indexOf(':');
-			if (colon < 1) {
+			if (!ResponseHeadSyntax.isHeaderLine(header)) {
 				throw new ProtocolException("not a header: " + header);
 			}
+			int colon = header.indexOf(':');
 			headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).strip());
 		}
 		return new HttpHead(line, headers);
--- a/soak/src/main/java/org/celeryhill/soak/ServerBehaviour.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerBehaviour.java
@@ -14,7 +14,7 @@
  * @param bodyBytes the number of bytes that fill the body
  * @param framing how the end of the body is marked, not null
  * @param part the part of the response after which a truncated one breaks off, from 0 to
- * 1
+ * 1; also chooses among the malformed heads
  * @param copy the second copy of the response, not null
  */
 record ServerBehaviour(Outcome outcome, int status, int workMillis, int bodyBytes, Framing framing, double part,
@@ -30,6 +30,8 @@
 
 	private static final double STUTTER_SHARE = 0.5;
 
+	private static final double MALFORM_SHARE = 0.15;
+
 	private static final int[] FAILURES = { 500, 500, 504, 404, 409 };
 
 	private static final int[] REFUSALS = { 503, 503, 429 };
@@ -75,6 +77,9 @@
 		double part = random.nextDouble();
 		boolean isCopied = isDrawn(random, faults, FaultKind.STUTTER, STUTTER_SHARE);
 		Copy copy = Copy.draw(random);
+		if (isDrawn(random, faults, FaultKind.MALFORM, MALFORM_SHARE) && outcome == Outcome.RUN) {
+			outcome = Outcome.MALFORM;
+		}
 		return new ServerBehaviour(outcome, (outcome == Outcome.REFUSE) ? refusal : runStatus, work, bytes, framing,
 				part, (isCopied && framing != Framing.CLOSE) ? copy : Copy.NONE);
 	}
@@ -100,7 +105,10 @@
 		RESET_AFTER_RUN,
 
 		/** Runs; the response breaks off. */
-		TRUNCATE
+		TRUNCATE,
+
+		/** Runs; the head of the response is not valid HTTP. */
+		MALFORM
 
 	}
 
--- a/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
+++ b/soak/src/main/java/org/celeryhill/soak/ServerConnection.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -26,6 +27,9 @@
 
 	private static final int CONFLICT = 409;
 
+	/** Status of a run whose response no caller may get. */
+	private static final int NO_STATUS = 0;
+
 	private static final int EVENT_GAP_MILLIS = 3;
 
 	private final BackendServer server;
@@ -155,7 +159,13 @@
 		}
 		List<byte[]> parts = isStream(read, run) ? ResponseWriter.encodeStream(id, run, events(head))
 				: List.of(ResponseWriter.encodeRun(id, run, responseBody));
-		return send(parts, behaviour);
+		return send((behaviour.outcome() == Outcome.MALFORM) ? malform(parts, behaviour) : parts, behaviour);
+	}
+
+	private static List<byte[]> malform(List<byte[]> parts, ServerBehaviour behaviour) {
+		List<byte[]> changed = new ArrayList<>(parts);
+		changed.set(0, MalformedHead.draw(behaviour.part()).apply(parts.get(0)));
+		return changed;
 	}
 
 	private static boolean isStream(CallerRequest request, Run run) {
@@ -211,6 +221,9 @@
 	}
 
 	private static Run reported(Run run, PlantedFault planted) {
+		if (run.behaviour().outcome() == Outcome.MALFORM) {
+			return new Run(run.connection(), run.signature(), NO_STATUS, run.body(), run.behaviour());
+		}
 		return switch (planted) {
 			case OTHER_BODY ->
 				new Run(run.connection(), run.signature(), run.status(), BodyDigest.of(new byte[1]), run.behaviour());
--- a/soak/src/test/java/org/celeryhill/soak/SoakTests.java
+++ b/soak/src/test/java/org/celeryhill/soak/SoakTests.java
@@ -61,6 +61,15 @@
 				settings("--seed=3", "--minutes=0.2", "--processes=2", "--callers=8", "--only=STUTTER,FAIL,REFUSE"));
 	}
 
+	// Guards against a response whose head is not valid HTTP, such as one with status
+	// 000,
+	// that reaches a caller.
+	@Test
+	void promisesHoldBesideServersThatSendMalformedHeads() throws IOException {
+		assertKeepsPromises(
+				settings("--seed=5", "--minutes=0.1", "--processes=2", "--callers=8", "--only=MALFORM,FAIL,REFUSE"));
+	}
+
 	// Guards against a soak that does not notice a broken promise.
 	@ParameterizedTest
 	@CsvSource({ "OTHER_BODY, MIXED", "OTHER_STATUS, MIXED", "SECOND_RUN, TWICE", "FALSE_REFUSAL, REFUSED",
