--- a/base/src/main/java/org/celeryhill/base/ResponseHeadSyntax.java
+++ b/base/src/main/java/org/celeryhill/base/ResponseHeadSyntax.java
@@ -16,6 +16,9 @@
 
 	private static final int MAX_STATUS = 599;
 
+	/** Control character with the highest code. */
+	private static final char DELETE = 0x7f;
+
 	private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
 	private ResponseHeadSyntax() {
@@ -38,7 +41,12 @@
 	}
 
 	private static boolean isStatusCode(String code) {
-		return code.chars().allMatch((digit) -> isDigit((char) digit)) && isStatus(Integer.parseInt(code));
+		for (int i = 0; i < code.length(); i++) {
+			if (!isDigit(code.charAt(i))) {
+				return false;
+			}
+		}
+		return isStatus(Integer.parseInt(code));
 	}
 
 	private static boolean isReason(String rest) {
@@ -72,7 +80,12 @@
 	 * delimiters
 	 */
 	public static boolean isHeaderName(String name) {
-		return !name.isEmpty() && name.chars().allMatch((character) -> isTokenCharacter((char) character));
+		for (int i = 0; i < name.length(); i++) {
+			if (!isTokenCharacter(name.charAt(i))) {
+				return false;
+			}
+		}
+		return !name.isEmpty();
 	}
 
 	private static boolean isTokenCharacter(char character) {
@@ -88,7 +101,7 @@
 	public static boolean isText(String text) {
 		for (int i = 0; i < text.length(); i++) {
 			char character = text.charAt(i);
-			boolean isControl = character < ' ' || character == 0x7f;
+			boolean isControl = character < ' ' || character == DELETE;
 			if (isControl && character != '\t') {
 				return false;
 			}
--- a/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -82,22 +83,31 @@
 			checkHead(buffer, start, out);
 		}
 		this.isHeadIncomplete &= out.isEmpty();
-		out.forEach(this::recordDecoded);
+		for (Object message : out) {
+			recordDecoded(message);
+		}
 	}
 
 	private static boolean hasFailed(List<Object> out) {
-		return out.stream()
-			.anyMatch((message) -> message instanceof HttpObject object && object.decoderResult().isFailure());
+		for (Object message : out) {
+			if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	// The superclass consumes whole lines of a head, and nothing behind it.
 	private void checkHead(ByteBuf buffer, int start, List<Object> out) {
 		String lines = buffer.toString(start, buffer.readerIndex() - start, StandardCharsets.ISO_8859_1);
-		this.headCheck.findInvalidLine(lines).ifPresent((line) -> replaceByFailure(line, buffer, out));
+		Optional<String> invalidLine = this.headCheck.findInvalidLine(lines);
+		if (invalidLine.isPresent()) {
+			buffer.skipBytes(buffer.readableBytes());
+			replaceByFailure(invalidLine.get(), out);
+		}
 	}
 
-	private void replaceByFailure(String line, ByteBuf buffer, List<Object> out) {
-		buffer.skipBytes(buffer.readableBytes());
+	private void replaceByFailure(String line, List<Object> out) {
 		out.forEach(ReferenceCountUtil::release);
 		out.clear();
 		HttpMessage failure = createInvalidMessage();
