--- a/forward/src/main/java/org/celeryhill/forward/ResponseHeadCheck.java
+++ b/forward/src/main/java/org/celeryhill/forward/HeadLineValidator.java
@@ -8,7 +8,7 @@
  * Finds lines in the heads of responses that are not valid HTTP. The decoder accepts some
  * of them and reads them as something else. Not thread-safe.
  */
-final class ResponseHeadCheck {
+final class HeadLineValidator {
 
 	private boolean isStatusLineNext = true;
 
--- a/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
+++ b/forward/src/main/java/org/celeryhill/forward/ResponseDecoder.java
@@ -19,14 +19,14 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Decodes the responses on a connection that carries one exchange at a time. Must be used
- * on the event loop.
+ * Decodes the responses on a connection that carries one exchange at a time. A head with
+ * a line that is not valid HTTP is a failed message. Must be used on the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
 	private static final int MAX_TEXT_BYTES = 60;
 
-	private final ResponseHeadCheck headCheck = new ResponseHeadCheck();
+	private final HeadLineValidator lineValidator = new HeadLineValidator();
 
 	private boolean isHeadRequest;
 
@@ -100,7 +100,7 @@
 	// The superclass consumes whole lines of a head, and nothing behind it.
 	private void checkHead(ByteBuf buffer, int start, List<Object> out) {
 		String lines = buffer.toString(start, buffer.readerIndex() - start, StandardCharsets.ISO_8859_1);
-		Optional<String> invalidLine = this.headCheck.findInvalidLine(lines);
+		Optional<String> invalidLine = this.lineValidator.findInvalidLine(lines);
 		if (invalidLine.isPresent()) {
 			buffer.skipBytes(buffer.readableBytes());
 			replaceByFailure(invalidLine.get(), out);
