--- a/review/src-2/review2/LeaseAfterDrill.java
+++ b/review/src-2/review2/LeaseAfterDrill.java
@@ -15,12 +15,15 @@
 
 	private static final int MACHINES = 7;
 
+	/** Time for which the first holder gives orders before it is restarted. */
+	private static final long REIGN_MS = 9000;
+
 	/** Time from the SIGTERM back to the copy. */
 	private static final long COPY_BEFORE_TERM_MS = 500;
 
-	private static final long AWAY_MS = 3000;
+	private static final long AWAY_MS = 500;
 
-	private static final long WATCH_MS = 15_000;
+	private static final long WATCH_MS = 12_000;
 
 	private LeaseAfterDrill() {
 	}
@@ -51,7 +54,7 @@
 		if (first == null) {
 			return cannotRun(record, "no order");
 		}
-		Thread.sleep(3000);
+		Thread.sleep(REIGN_MS);
 		List<Engine.Order> before = site.engines.get(0).orders();
 		String holder = before.get(before.size() - 1).holder();
 		long termMillis = record.now();
