--- a/review/src-2/review2/Daemon.java
+++ b/review/src-2/review2/Daemon.java
@@ -105,10 +105,7 @@
 		Path file = this.folder.resolve(this.name + ".settings");
 		Files.writeString(file, text);
 		ProcessBuilder builder = new ProcessBuilder(new ArrayList<>(this.run));
-		String path = System.getenv("PATH");
-		builder.environment().clear();
-		builder.environment().put("PATH", path);
-		builder.environment().put("LANG", "C.UTF-8");
+		builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
 		builder.environment().put("CELERYHILL_SETTINGS", file.toString());
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(this.folder.toFile(), this.name + ".log")));
