Tell a reset behind the regular end of a connection from the end of a response

Cause: the system of such a server ends the connection regularly first and resets it when the rest of the request arrives. Once the end is there, reads and the events of the event loop show the end only. BackendConnection took it for that of the response whenever the request had been handed to the system, and a request of 4 MB fits into the buffers of the system.

Change: SendStateProbe asks the system through a selector of its own, which reports an established connection as ready to connect only after an error or a hang-up, and as writable with the smallest send buffer only if hardly a byte is on its way. ConnectionEndCheck lets the end count at once if a short request was sent a round trip ago, after another round trip if a longer one is delivered, and after 20 ms or two round trips without a reset otherwise. The end of a write is no sign any more. It works because a reset can only come while bytes are on their way, and comes one round trip behind the end.

Tests: resetBehindRegularEndIsNoEnd, resetAfterRegularEndIsNoEnd and resetBehindRegularEndBreaksStreamOff run end and reset of the server on the host's own event loop, so that their order does not depend on scheduling.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -22,10 +23,11 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.celeryhill.base.SendState;
+import org.celeryhill.base.SendStateProbe;
 
 /**
  * HTTP client with a connection pool for each backend server. Sends each request once: it
@@ -56,10 +58,13 @@
 
 	private long connectionCount;
 
+	/** Null until the state of a connection was asked for. */
+	private SendStateProbe sendStateProbe;
+
 	private BackendClient(EventLoop loop) {
 		this.loop = loop;
 		this.bootstrap = new Bootstrap().group(loop)
-			.channel(NioSocketChannel.class)
+			.channelFactory(BackendChannel::new)
 			.option(ChannelOption.TCP_NODELAY, true)
 			// Tells the regular end of what a server sends from a broken connection.
 			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -150,6 +155,7 @@
 							connection);
 			}
 		};
+		long start = System.nanoTime();
 		ChannelFuture future = this.bootstrap.clone().handler(initializer).connect(key.address());
 		exchange.setConnectFuture(future);
 		future.addListener((done) -> {
@@ -160,6 +166,7 @@
 				future.channel().close();
 			}
 			else {
+				connection.setConnectTime(Duration.ofNanos(System.nanoTime() - start));
 				connection.startExchange(exchange);
 			}
 		});
@@ -231,6 +238,20 @@
 		return this.loop;
 	}
 
+	// Returns the state of what was written to a connection of this client.
+	SendState sendState(Channel channel, boolean isWritten) throws IOException {
+		if (this.sendStateProbe == null) {
+			this.sendStateProbe = openProbe();
+		}
+		return ((BackendChannel) channel).sendState(this.sendStateProbe, isWritten);
+	}
+
+	private SendStateProbe openProbe() throws IOException {
+		SendStateProbe probe = SendStateProbe.open();
+		this.loop.terminationFuture().addListener((ended) -> probe.close());
+		return probe;
+	}
+
 	/**
 	 * Whether a process listens at an address.
 	 */
@@ -288,6 +309,8 @@
 
 		private final FullHttpRequest request;
 
+		private final int bodyBytes;
+
 		private final Optional<String> id;
 
 		private final ExchangeListener listener;
@@ -306,6 +329,7 @@
 
 		private Exchange(FullHttpRequest request, Optional<String> id, ExchangeListener listener) {
 			this.request = request;
+			this.bodyBytes = request.content().readableBytes();
 			this.id = id;
 			this.listener = listener;
 		}
@@ -373,6 +397,10 @@
 			return this.request.method();
 		}
 
+		int bodyBytes() {
+			return this.bodyBytes;
+		}
+
 		FullHttpRequest startWrite(Channel target) {
 			this.channel = target;
 			this.isWriteStarted = true;
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -28,9 +29,16 @@
 	private static final int MAX_INTERIM_RESPONSES = 16;
 
 	/**
-	 * Time after the end of a response in which a reset of its connection can arrive.
+	 * Largest body of a request that is sent at once, in the initial window of a
+	 * connection (ten segments, RFC 6928).
 	 */
-	private static final long RESET_WAIT_MS = 50;
+	private static final int MAX_INITIAL_WINDOW_BODY_BYTES = 8192;
+
+	/** Between the zones of a region. */
+	private static final Duration MIN_ROUND_TRIP = Duration.ofMillis(2);
+
+	/** Connecting takes longer than that where the event loop or the server is busy. */
+	private static final Duration MAX_ROUND_TRIP = Duration.ofMillis(25);
 
 	/**
 	 * Time in which a response that is sent once more arrives as a whole. One that breaks
@@ -74,7 +82,11 @@
 
 	private boolean isDelimitedByClose;
 
-	private boolean isResetAwaited;
+	private boolean isEndChecked;
+
+	private Duration roundTrip = MIN_ROUND_TRIP;
+
+	private long startNanos;
 
 	BackendConnection(BackendClient client, BackendClient.PoolKey key, long number) {
 		this.client = client;
@@ -113,8 +125,15 @@
 		return this.context.channel().isActive() && this.keepAliveTime.isReusable(now, maxIdleNanos);
 	}
 
+	// Takes note of the time that connecting took, which is a round trip at least.
+	void setConnectTime(Duration time) {
+		Duration atLeast = (time.compareTo(MIN_ROUND_TRIP) < 0) ? MIN_ROUND_TRIP : time;
+		this.roundTrip = (atLeast.compareTo(MAX_ROUND_TRIP) > 0) ? MAX_ROUND_TRIP : atLeast;
+	}
+
 	void startExchange(BackendClient.Exchange next) {
 		this.exchange = next;
+		this.startNanos = System.nanoTime();
 		this.isDelimitedByClose = false;
 		this.interimCount = 0;
 		this.repeatedResponses.startExchange(next.id());
@@ -255,31 +274,39 @@
 		else if (!ctx.channel().isActive()) {
 			failExchange("connection failed within a response without length");
 		}
-		else if (this.writeFuture.isDone()) {
-			completeExchange(ctx);
-		}
 		else {
-			awaitReset(ctx);
+			checkEnd(ctx);
 		}
 	}
 
-	// A server that closes its connection with bytes of the request unread sends its
-	// regular end first and a reset right after it. Only the write shows the reset.
-	private void awaitReset(ChannelHandlerContext ctx) {
-		this.isResetAwaited = true;
+	private void checkEnd(ChannelHandlerContext ctx) {
+		this.isEndChecked = true;
 		BackendClient.Exchange ending = this.exchange;
-		this.writeFuture.addListener((written) -> {
-			if (written.isSuccess()) {
-				completeIfCurrent(ctx, ending);
-			}
-		});
-		ctx.executor().schedule(() -> completeIfCurrent(ctx, ending), RESET_WAIT_MS, TimeUnit.MILLISECONDS);
+		new ConnectionEndCheck(() -> this.client.sendState(ctx.channel(), this.writeFuture.isDone()),
+				this.client.loop(), this.roundTrip, (isRegular, time) -> handleEndCheck(ctx, ending, isRegular, time))
+			.start(isRequestArrived());
+	}
+
+	// The request was sent in the initial window, and long enough ago.
+	private boolean isRequestArrived() {
+		return this.writeFuture.isSuccess() && this.exchange.bodyBytes() <= MAX_INITIAL_WINDOW_BODY_BYTES
+				&& System.nanoTime() - this.startNanos >= this.roundTrip.toNanos();
 	}
 
-	private void completeIfCurrent(ChannelHandlerContext ctx, BackendClient.Exchange ending) {
-		if (this.exchange == ending && !ending.isEnded()) {
+	private void handleEndCheck(ChannelHandlerContext ctx, BackendClient.Exchange ending, boolean isRegular,
+			Duration time) {
+		if (this.exchange != ending || ending.isEnded()) {
+			return;
+		}
+		LOG.info("response_end_checked", "server", this.key.owner(), "connection", lastUse(), "regular", isRegular,
+				"written", this.writeFuture.isSuccess(), "request_bytes", ending.bodyBytes(), "us",
+				TimeUnit.NANOSECONDS.toMicros(time.toNanos()));
+		if (isRegular) {
 			completeExchange(ctx);
 		}
+		else {
+			failExchange("connection was reset within a response without length");
+		}
 	}
 
 	private void completeExchange(ChannelHandlerContext ctx) {
@@ -334,7 +361,7 @@
 	// The decoder has handled the end of the input before this.
 	@Override
 	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-		if (event instanceof ChannelInputShutdownEvent && !this.isResetAwaited) {
+		if (event instanceof ChannelInputShutdownEvent && !this.isEndChecked) {
 			ctx.close();
 		}
 	}
--- a/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
@@ -1,7 +1,10 @@
 package org.celeryhill.forward;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 
 import org.celeryhill.base.KnownRedCondition;
 import org.junit.jupiter.api.AfterEach;
@@ -36,6 +39,15 @@
 
 	private static final String EVENT = "id: 1\ndata: t1\n\n";
 
+	/**
+	 * Less than the send buffer of a connection, so that the host hands it over at once,
+	 * and more than a server of these tests accepts unread.
+	 */
+	private static final String BUFFERED_BODY = "b".repeat(256 << 10);
+
+	/** Within the time in which a reset behind a regular end is awaited. */
+	private static final long RESET_DELAY_MS = 1;
+
 	/** Long enough for what was sent to be read by the client. */
 	private static final long PAUSE_MS = 150;
 
@@ -76,10 +88,56 @@
 		}
 	}
 
+	// Sends a request of which the server reads the head only. The server begins its
+	// response, and then ends on the event loop of the host, which can read nothing
+	// meanwhile.
+	private String postBuffered(String path, Ending ending) throws Exception {
+		CountDownLatch isResponseRead = new CountDownLatch(1);
+		try (ScriptedServer server = ScriptedServer.createForHeads((request, connection) -> {
+			startResponse(request, connection, 200, PART);
+			runOnLoop(() -> ending.run(connection));
+			await(isResponseRead);
+		})) {
+			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
+			String response = this.fixture.sendAndReadAll(ForwardFixture.postRequest(path, "r1", BUFFERED_BODY));
+			isResponseRead.countDown();
+			return response;
+		}
+	}
+
+	private static void await(CountDownLatch latch) throws IOException {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			throw new InterruptedIOException(ex.getMessage());
+		}
+	}
+
+	private void runOnLoop(LoopTask task) throws IOException {
+		try {
+			this.fixture.runOnLoop(() -> {
+				try {
+					task.run();
+				}
+				catch (IOException ex) {
+					throw new UncheckedIOException(ex);
+				}
+			});
+		}
+		catch (Exception ex) {
+			throw new IOException(ex);
+		}
+	}
+
 	private String generate(String path, ScriptedServer.Script script) throws Exception {
+		return generate(path, LONG_BODY, script);
+	}
+
+	private String generate(String path, String body, ScriptedServer.Script script) throws Exception {
 		try (ScriptedServer server = ScriptedServer.createForHeads(script)) {
 			this.fixture.addServer("e1", ForwardFixture.ENGINE_SERVICE, server);
-			String request = ForwardFixture.postRequest(path, "r1", LONG_BODY)
+			String request = ForwardFixture.postRequest(path, "r1", body)
 				.replace("id: r1\r\n", "id: r1\r\nmodel: " + ForwardFixture.MODEL + "\r\n");
 			return this.fixture.sendAndReadAll(request);
 		}
@@ -123,6 +181,53 @@
 		}
 	}
 
+	// Guards against a part of a response that reaches the caller as the whole, when its
+	// server crashes after the host has handed the whole request to the system. The reset
+	// has arrived before the host reads the regular end, which hides it.
+	@ParameterizedTest
+	@ValueSource(strings = { "/once/x", "/many/x" })
+	void resetBehindRegularEndIsNoEnd(String path) throws Exception {
+		String response = postBuffered(path, (connection) -> {
+			connection.startEnd();
+			connection.reset();
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+	}
+
+	// Guards against the same where the reset arrives after the host has read the regular
+	// end. End and reset run on the event loop of the host, in the order of their times.
+	@Test
+	void resetAfterRegularEndIsNoEnd() throws Exception {
+		String response = postBuffered("/once/x", (connection) -> {
+			connection.startEnd();
+			this.fixture.schedule(RESET_DELAY_MS, connection::resetUnchecked);
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+	}
+
+	// Guards against a stream that ends as if it were complete, when its engine crashes
+	// between two events after the whole request was handed to the system.
+	@ParameterizedTest
+	@ValueSource(strings = { "/stream/x", "/resumable/x" })
+	void resetBehindRegularEndBreaksStreamOff(String path) throws Exception {
+		String response = generate(path, BUFFERED_BODY, (request, connection) -> {
+			startResponse(request, connection, 200, EVENT);
+			runOnLoop(() -> {
+				connection.startEnd();
+				connection.reset();
+			});
+		});
+		assertThat(response).contains("data: t1").doesNotEndWith("0\r\n\r\n");
+	}
+
+	// Guards against a whole response that is dropped because its server reads the
+	// request, which the host has handed over, slowly or not at all after its end.
+	@Test
+	void regularEndWithUnreadRequestIsWhole() throws Exception {
+		String response = postBuffered("/once/x", ScriptedServer.Connection::startEnd);
+		assertThat(response).startsWith("HTTP/1.1 200").endsWith(PART);
+	}
+
 	// Guards against a stream that ends as if it were complete, when its engine is killed
 	// between two events while the body of the request is being written.
 	@ParameterizedTest
@@ -208,4 +313,22 @@
 		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
 	}
 
+	/**
+	 * How a server ends its connection.
+	 */
+	private interface Ending {
+
+		void run(ScriptedServer.Connection connection) throws IOException;
+
+	}
+
+	/**
+	 * A step of a server that runs on the event loop of the host.
+	 */
+	private interface LoopTask {
+
+		void run() throws IOException;
+
+	}
+
 }
--- a/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
+++ b/forward/src/test/java/org/celeryhill/forward/ScriptedServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -214,11 +215,25 @@
 			this.socket.getInputStream().skip(Long.MAX_VALUE);
 		}
 
+		// Ends the response regularly and reads nothing.
+		void startEnd() throws IOException {
+			this.socket.shutdownOutput();
+		}
+
 		void reset() throws IOException {
 			this.socket.setSoLinger(true, 0);
 			this.socket.close();
 		}
 
+		void resetUnchecked() {
+			try {
+				reset();
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
 		// Sends a text again and again until the client closes the connection or has
 		// accepted a number of bytes.
 		void sendUntilClosed(String text, long maxBytes) throws IOException {
