Reset unfinished responses to callers of HTTP/1.0 that stall or outlive the host

A caller of HTTP/1.0 takes the regular end of its connection for that of a response. Two ends of ours were regular while bytes of a response that had been handed over were not written: when the caller took nothing for the idle timeout, and when the host ended at the end of its grace. The caller then had a part of the response as the whole.

Change: every end of a caller's connection that is not the regular one goes through abort(), which resets a connection whose response is unfinished and is delimited by the end; the daemon ends its callers' connections itself before the process exits.

Tests: UnfinishedResponseTests.responseOfStalledCallerIsReset and responseIsResetWhenHostEnds failed before and pass now; writtenResponseEndsRegularly passed before and after.

--- a/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
+++ b/edge/src/main/java/org/celeryhill/edge/EdgeDaemon.java
@@ -299,7 +299,13 @@
 		}
 		LOG.info("edge_stopped", "host", this.settings.hostId, "abandoned", this.forwarder.activeCount());
 		this.forwarder.abortAll();
-		this.loop.schedule(onStopped, HOUSEKEEPING_PERIOD_MS / 10, TimeUnit.MILLISECONDS);
+		this.loop.schedule(() -> endConnections(onStopped), HOUSEKEEPING_PERIOD_MS / 10, TimeUnit.MILLISECONDS);
+	}
+
+	// The system would end the connections regularly when the process exits.
+	private void endConnections(Runnable onStopped) {
+		this.front.close();
+		onStopped.run();
 	}
 
 	// Shuts down at once; running requests are dropped.
--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -65,6 +65,9 @@
 
 	private boolean isStreamStarted;
 
+	/** Whether the caller takes the end of the connection for that of the response. */
+	private boolean isDelimitedByClose;
+
 	/** Body of a long response that is not yet handed over as a whole, else null. */
 	private LongResponseBody longBody;
 
@@ -245,6 +248,7 @@
 			copy.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		}
 		else {
+			this.isDelimitedByClose = true;
 			this.isClosePending = true;
 		}
 		setConnectionHeader(copy);
@@ -309,8 +313,8 @@
 
 	@Override
 	public void abort() {
-		if (this.isStreamStarted && !this.isChunkedSupported) {
-			// The caller takes a regular end of the connection for that of the response.
+		boolean isUnfinished = this.isStreamStarted || isResponseUnwritten();
+		if (this.isDelimitedByClose && isUnfinished) {
 			BackendClient.reset(this.context.channel());
 		}
 		else {
@@ -334,7 +338,7 @@
 		if (wait != CallerWait.REQUEST) {
 			LOG.warn("caller_stalled", "caller", this.context.channel().remoteAddress(), "waited_for", wait);
 		}
-		this.context.close();
+		abort();
 	}
 
 	private CallerWait currentWait() {
@@ -399,7 +403,7 @@
 		if (!(cause instanceof java.io.IOException)) {
 			LOG.warn("connection_failed", "cause", cause);
 		}
-		ctx.close();
+		abort();
 	}
 
 }
--- a/forward/src/main/java/org/celeryhill/forward/IngressServer.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressServer.java
@@ -185,7 +185,8 @@
 	}
 
 	/**
-	 * Stops accepting connections and closes all connections.
+	 * Stops accepting connections and closes all connections. A response that is not
+	 * written as a whole does not look whole to its caller.
 	 */
 	public void close() {
 		this.listeningChannel.close();
