Tell a reset behind the end of a connection in calls over OkHttp, too

Cause: OkHttp reads until the regular end, which hides the reset behind it, and closes the socket before anyone can ask for its state. HttpRequestSender knew failed writes only.

Change: EndCheckingSocket, on a channel, asks for the state of the connection before its reader gets the end, and throws if it was reset. The decision moves to ConnectionEnd, which does no I/O, and is shared with the event loop's ConnectionEndCheck.

--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.celeryhill.base.ConnectionEnd;
 import org.celeryhill.base.EventLog;
 
 /**
@@ -34,9 +35,6 @@
 	 */
 	private static final int MAX_INITIAL_WINDOW_BODY_BYTES = 8192;
 
-	/** Between the zones of a region. */
-	private static final Duration MIN_ROUND_TRIP = Duration.ofMillis(2);
-
 	/** Connecting takes longer than that where the event loop or the server is busy. */
 	private static final Duration MAX_ROUND_TRIP = Duration.ofMillis(25);
 
@@ -84,7 +82,7 @@
 
 	private boolean isEndChecked;
 
-	private Duration roundTrip = MIN_ROUND_TRIP;
+	private Duration roundTrip = ConnectionEnd.MIN_ROUND_TRIP;
 
 	private long startNanos;
 
@@ -127,13 +125,13 @@
 
 	// Takes note of the time that connecting took, which is a round trip at least.
 	void setConnectTime(Duration time) {
-		Duration atLeast = (time.compareTo(MIN_ROUND_TRIP) < 0) ? MIN_ROUND_TRIP : time;
-		this.roundTrip = (atLeast.compareTo(MAX_ROUND_TRIP) > 0) ? MAX_ROUND_TRIP : atLeast;
+		Duration atMost = (time.compareTo(MAX_ROUND_TRIP) > 0) ? MAX_ROUND_TRIP : time;
+		this.roundTrip = (atMost.compareTo(ConnectionEnd.MIN_ROUND_TRIP) < 0) ? ConnectionEnd.MIN_ROUND_TRIP : atMost;
 	}
 
 	void startExchange(BackendClient.Exchange next) {
 		this.exchange = next;
-		this.startNanos = System.nanoTime();
+		this.startNanos = now();
 		this.isDelimitedByClose = false;
 		this.interimCount = 0;
 		this.repeatedResponses.startExchange(next.id());
@@ -282,25 +280,33 @@
 	private void checkEnd(ChannelHandlerContext ctx) {
 		this.isEndChecked = true;
 		BackendClient.Exchange ending = this.exchange;
-		new ConnectionEndCheck(() -> this.client.sendState(ctx.channel(), this.writeFuture.isDone()),
-				this.client.loop(), this.roundTrip, (isRegular, time) -> handleEndCheck(ctx, ending, isRegular, time))
-			.start(isRequestArrived());
+		long now = now();
+		ConnectionEnd end = isRequestArrived(now) ? ConnectionEnd.afterArrival(now, this.roundTrip)
+				: ConnectionEnd.at(now, this.roundTrip);
+		new ConnectionEndCheck(this.client.loop(),
+				() -> this.client.sendState(ctx.channel(), this.writeFuture.isDone()), end,
+				(isRegular) -> handleEndCheck(ctx, ending, isRegular, now))
+			.look();
 	}
 
 	// The request was sent in the initial window, and long enough ago.
-	private boolean isRequestArrived() {
+	private boolean isRequestArrived(long now) {
 		return this.writeFuture.isSuccess() && this.exchange.bodyBytes() <= MAX_INITIAL_WINDOW_BODY_BYTES
-				&& System.nanoTime() - this.startNanos >= this.roundTrip.toNanos();
+				&& now - this.startNanos >= this.roundTrip.toNanos();
+	}
+
+	private long now() {
+		return this.client.loop().ticker().nanoTime();
 	}
 
 	private void handleEndCheck(ChannelHandlerContext ctx, BackendClient.Exchange ending, boolean isRegular,
-			Duration time) {
+			long endNanos) {
 		if (this.exchange != ending || ending.isEnded()) {
 			return;
 		}
 		LOG.info("response_end_checked", "server", this.key.owner(), "connection", lastUse(), "regular", isRegular,
 				"written", this.writeFuture.isSuccess(), "request_bytes", ending.bodyBytes(), "us",
-				TimeUnit.NANOSECONDS.toMicros(time.toNanos()));
+				TimeUnit.NANOSECONDS.toMicros(now() - endNanos));
 		if (isRegular) {
 			completeExchange(ctx);
 		}
--- a/forward/src/test/java/org/celeryhill/forward/ConnectionEndCheckTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ConnectionEndCheckTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import org.celeryhill.base.ConnectionEnd;
 import org.celeryhill.base.SendState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -15,7 +16,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests of {@link ConnectionEndCheck} in virtual time.
+ * Tests of {@link ConnectionEndCheck} and {@link ConnectionEnd} in virtual time.
  */
 class ConnectionEndCheckTests {
 
@@ -42,9 +43,10 @@
 	}
 
 	private void startWith(ConnectionEndCheck.SendStateSource source, boolean isRequestArrived, Duration roundTrip) {
-		new ConnectionEndCheck(source, this.channel.eventLoop(), roundTrip,
-				(isRegular, time) -> this.results.add(isRegular))
-			.start(isRequestArrived);
+		long now = this.channel.eventLoop().ticker().nanoTime();
+		ConnectionEnd end = isRequestArrived ? ConnectionEnd.afterArrival(now, roundTrip)
+				: ConnectionEnd.at(now, roundTrip);
+		new ConnectionEndCheck(this.channel.eventLoop(), source, end, this.results::add).look();
 	}
 
 	// Advances in steps, as tasks schedule others.
--- a/http/src/main/java/org/celeryhill/http/HttpRequestSender.java
+++ b/http/src/main/java/org/celeryhill/http/HttpRequestSender.java
@@ -49,6 +49,7 @@
 			.followRedirects(false)
 			.followSslRedirects(false)
 			.proxy(java.net.Proxy.NO_PROXY)
+			.socketFactory(EndCheckingSocketFactory.INSTANCE)
 			.eventListenerFactory(SendTracker.createListenerFactory())
 			.addNetworkInterceptor(HttpRequestSender::preventAutomaticRetry)
 			.addNetworkInterceptor(new ResponseHeadInterceptor())
--- a/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
+++ b/http/src/test/java/org/celeryhill/http/FailureMappingTests.java
@@ -42,6 +42,9 @@
 	/** More than the buffers of a connection hold, so that a part waits to be written. */
 	private static final int LONG_BODY_BYTES = 32 << 20;
 
+	/** Less than the send buffer of a connection, so that it is handed over at once. */
+	private static final int BUFFERED_BODY_BYTES = 256 << 10;
+
 	/** Timeout of the test that checks timeouts. */
 	private static final Duration SHORT_TIMEOUT = Duration.ofSeconds(1);
 
@@ -109,6 +112,45 @@
 		}
 	}
 
+	// Guards against the same where the client has handed the whole request to the
+	// system:
+	// the regular end of the connection hides the reset behind it from the reader.
+	@Test
+	void resetBehindRegularEndIsUnknown() throws IOException {
+		try (RawServer server = RawServer.start((connection) -> {
+			connection.socket().getInputStream().readNBytes(100);
+			connection.writeText("HTTP/1.1 200 x\r\n\r\nhalf");
+			pause(300);
+			connection.socket().shutdownOutput();
+			connection.socket().setSoLinger(true, 0);
+			connection.socket().close();
+		})) {
+			assertThat(sendCall(server.uri(), new byte[BUFFERED_BODY_BYTES]))
+				.isInstanceOf(PlainService.CallUnknown.class);
+		}
+	}
+
+	// Guards against a whole response without length that is reported as unknown, because
+	// its server has not read the request, or has closed its connection.
+	@Test
+	void regularEndIsWhole() throws IOException {
+		try (RawServer unread = RawServer.start((connection) -> {
+			connection.socket().getInputStream().readNBytes(100);
+			connection.writeText("HTTP/1.1 200 x\r\n\r\nwhole");
+			connection.socket().shutdownOutput();
+			connection.socket().getInputStream().skip(Long.MAX_VALUE);
+		}); RawServer read = RawServer.start((connection) -> {
+			connection.readRequest();
+			connection.writeText("HTTP/1.1 200 x\r\n\r\nwhole");
+		})) {
+			assertThat(sendCall(unread.uri(), new byte[BUFFERED_BODY_BYTES]))
+				.isInstanceOf(PlainService.CallCompleted.class);
+			assertThat(sendCall(read.uri(), new byte[BUFFERED_BODY_BYTES]))
+				.isInstanceOf(PlainService.CallCompleted.class);
+			assertThat(sendPostCall(read.uri())).isInstanceOf(PlainService.CallCompleted.class);
+		}
+	}
+
 	private static void pause(long millis) {
 		try {
 			Thread.sleep(millis);
