Split the pool and the exchange off the client of backend servers

BackendClient had grown to 443 lines with three jobs. The idle connections are kept by ConnectionPool, a request and its response are an Exchange, the use of a connection a ConnectionUse; BackendClient has 245 lines.

--- a/forward/src/main/java/org/celeryhill/forward/BackendClient.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendClient.java
@@ -4,14 +4,10 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -24,7 +20,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.celeryhill.base.SendState;
 import org.celeryhill.base.SendStateProbe;
@@ -47,10 +42,7 @@
 	 */
 	private static final int MAX_READ_BYTES = 16_384;
 
-	/** Longest time that a connection stays idle in its pool. */
-	private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(4);
-
-	private final Map<PoolKey, ArrayDeque<BackendConnection>> idleConnections = new HashMap<>();
+	private final ConnectionPool pool = new ConnectionPool();
 
 	private final Bootstrap bootstrap;
 
@@ -112,36 +104,14 @@
 	}
 
 	private Exchange send(PoolKey key, Exchange exchange, Duration maxIdle) {
-		BackendConnection reused = pollIdleConnection(key, exchange, maxIdle.toNanos());
-		if (reused != null) {
-			exchange.setConnectionUse(reused.nextUse());
-			reused.startExchange(exchange);
-			return exchange;
-		}
-		connect(key, exchange);
+		this.pool.poll(key, exchange, maxIdle)
+			.ifPresentOrElse((reused) -> reuse(reused, exchange), () -> connect(key, exchange));
 		return exchange;
 	}
 
-	// Returns the connection that was used last among those that can carry the exchange.
-	private BackendConnection pollIdleConnection(PoolKey key, Exchange exchange, long maxIdleNanos) {
-		ArrayDeque<BackendConnection> queue = this.idleConnections.getOrDefault(key, new ArrayDeque<>());
-		long now = System.nanoTime();
-		Iterator<BackendConnection> latestFirst = queue.descendingIterator();
-		while (latestFirst.hasNext()) {
-			BackendConnection connection = latestFirst.next();
-			if (!connection.isReusable(now, Long.MAX_VALUE)) {
-				latestFirst.remove();
-				connection.close();
-			}
-			else if (!connection.isReusable(now, maxIdleNanos)) {
-				return null;
-			}
-			else if (!connection.hasCarried(exchange)) {
-				latestFirst.remove();
-				return connection;
-			}
-		}
-		return null;
+	private static void reuse(BackendConnection connection, Exchange exchange) {
+		exchange.setConnectionUse(connection.nextUse());
+		connection.startExchange(exchange);
 	}
 
 	private void connect(PoolKey key, Exchange exchange) {
@@ -194,17 +164,11 @@
 	}
 
 	void returnToPool(BackendConnection connection) {
-		this.idleConnections.computeIfAbsent(connection.key(), (key) -> new ArrayDeque<>()).addLast(connection);
+		this.pool.add(connection);
 	}
 
 	void removeFromPool(BackendConnection connection) {
-		ArrayDeque<BackendConnection> queue = this.idleConnections.get(connection.key());
-		if (queue != null) {
-			queue.remove(connection);
-			if (queue.isEmpty()) {
-				this.idleConnections.remove(connection.key());
-			}
-		}
+		this.pool.remove(connection);
 	}
 
 	/**
@@ -212,17 +176,8 @@
 	 * that are no longer in use.
 	 * @param isInUse whether a pool is still in use, not null
 	 */
-	public void closeIdleConnections(java.util.function.Predicate<PoolKey> isInUse) {
-		long now = System.nanoTime();
-		for (ArrayDeque<BackendConnection> queue : new java.util.ArrayList<>(this.idleConnections.values())) {
-			Iterator<BackendConnection> iterator = new java.util.ArrayList<>(queue).iterator();
-			while (iterator.hasNext()) {
-				BackendConnection connection = iterator.next();
-				if (!isInUse.test(connection.key()) || !connection.isReusable(now, MAX_IDLE_NANOS)) {
-					connection.close();
-				}
-			}
-		}
+	public void closeIdleConnections(Predicate<PoolKey> isInUse) {
+		this.pool.closeIdleConnections(isInUse);
 	}
 
 	// Closes a connection in such a way that the system discards what it has not sent and
@@ -287,157 +242,4 @@
 
 	}
 
-	/**
-	 * The use of a connection by one exchange.
-	 *
-	 * @param connection number of the connection, unique within the process
-	 * @param use number of the exchange on the connection, from 1
-	 */
-	record ConnectionUse(long connection, int use) {
-
-		@Override
-		public String toString() {
-			return this.connection + "." + this.use;
-		}
-
-	}
-
-	/**
-	 * A request and its response. Must be used on the event loop.
-	 */
-	public static final class Exchange {
-
-		private final FullHttpRequest request;
-
-		private final int bodyBytes;
-
-		private final Optional<String> id;
-
-		private final ExchangeListener listener;
-
-		private ChannelFuture connectFuture;
-
-		private Channel channel;
-
-		private boolean isEnded;
-
-		private boolean isWriteStarted;
-
-		private ConnectionUse connectionUse;
-
-		private String textBehind = "";
-
-		private Exchange(FullHttpRequest request, Optional<String> id, ExchangeListener listener) {
-			this.request = request;
-			this.bodyBytes = request.content().readableBytes();
-			this.id = id;
-			this.listener = listener;
-		}
-
-		/**
-		 * Ends the exchange and resets its connection without notifying the listener, so
-		 * that bytes of the request that the network holds up do not arrive later.
-		 */
-		public void cancel() {
-			if (this.isEnded) {
-				return;
-			}
-			this.isEnded = true;
-			releaseRequest();
-			if (this.channel != null) {
-				reset(this.channel);
-			}
-			else if (this.connectFuture != null) {
-				this.connectFuture.cancel(false);
-			}
-		}
-
-		/**
-		 * Pauses or resumes reading of the response. Has no effect on an exchange that
-		 * has ended, as its connection may have been reused.
-		 * @param isReading whether to read
-		 */
-		public void setReading(boolean isReading) {
-			if (this.channel != null && !this.isEnded) {
-				this.channel.config().setAutoRead(isReading);
-			}
-		}
-
-		/**
-		 * Returns whether any byte of the request may have been sent.
-		 * @return whether writing of the request has started
-		 */
-		public boolean isWriteStarted() {
-			return this.isWriteStarted;
-		}
-
-		boolean isEnded() {
-			return this.isEnded;
-		}
-
-		// Returns the connection that the request was or will be sent on.
-		ConnectionUse connectionUse() {
-			return this.connectionUse;
-		}
-
-		void setConnectionUse(ConnectionUse use) {
-			this.connectionUse = use;
-		}
-
-		void setConnectFuture(ChannelFuture future) {
-			this.connectFuture = future;
-		}
-
-		// Returns the id that the response has to bear, empty if it bears none.
-		Optional<String> id() {
-			return this.id;
-		}
-
-		HttpMethod method() {
-			return this.request.method();
-		}
-
-		int bodyBytes() {
-			return this.bodyBytes;
-		}
-
-		FullHttpRequest startWrite(Channel target) {
-			this.channel = target;
-			this.isWriteStarted = true;
-			return this.request;
-		}
-
-		ExchangeListener listener() {
-			return this.listener;
-		}
-
-		// Returns the first bytes that were received behind the response.
-		String textBehind() {
-			return this.textBehind;
-		}
-
-		void complete(String bytesBehind) {
-			this.textBehind = bytesBehind;
-			this.isEnded = true;
-			this.listener.onEnd();
-		}
-
-		void fail(ExchangeListener.Failure failure, String detail) {
-			if (this.isEnded) {
-				return;
-			}
-			this.isEnded = true;
-			releaseRequest();
-			this.listener.onFailure(failure, detail);
-		}
-
-		// Once writing has started, the encoder releases the request.
-		private void releaseRequest() {
-			if (!this.isWriteStarted) {
-				this.request.release();
-			}
-		}
-
-	}
-
 }
--- a/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/BackendConnection.java
@@ -65,7 +65,7 @@
 
 	private ChannelHandlerContext context;
 
-	private BackendClient.Exchange exchange;
+	private Exchange exchange;
 
 	private ChannelFuture writeFuture;
 
@@ -101,17 +101,17 @@
 	}
 
 	// Counts the next exchange of this connection.
-	BackendClient.ConnectionUse nextUse() {
+	ConnectionUse nextUse() {
 		this.useCount++;
-		return new BackendClient.ConnectionUse(this.number, this.useCount);
+		return new ConnectionUse(this.number, this.useCount);
 	}
 
-	BackendClient.ConnectionUse lastUse() {
-		return new BackendClient.ConnectionUse(this.number, this.useCount);
+	ConnectionUse lastUse() {
+		return new ConnectionUse(this.number, this.useCount);
 	}
 
 	// Returns whether this connection has carried a request with the id of the exchange.
-	boolean hasCarried(BackendClient.Exchange next) {
+	boolean hasCarried(Exchange next) {
 		return this.repeatedResponses.hasCarried(next.id());
 	}
 
@@ -129,7 +129,7 @@
 		this.roundTrip = (atMost.compareTo(ConnectionEnd.MIN_ROUND_TRIP) < 0) ? ConnectionEnd.MIN_ROUND_TRIP : atMost;
 	}
 
-	void startExchange(BackendClient.Exchange next) {
+	void startExchange(Exchange next) {
 		this.exchange = next;
 		this.startNanos = now();
 		this.isDelimitedByClose = false;
@@ -244,13 +244,13 @@
 			failExchange("response to an earlier request, not skipped");
 			return;
 		}
-		BackendClient.Exchange current = this.exchange;
+		Exchange current = this.exchange;
 		int responseNumber = this.repeatedResponses.count();
 		ctx.executor()
 			.schedule(() -> failIfSkipping(current, responseNumber), REPEATED_RESPONSE_WAIT_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void failIfSkipping(BackendClient.Exchange current, int responseNumber) {
+	private void failIfSkipping(Exchange current, int responseNumber) {
 		if (this.exchange == current && this.repeatedResponses.isSkipping(responseNumber)) {
 			failExchange("response to an earlier request is not whole");
 		}
@@ -279,7 +279,7 @@
 
 	private void checkEnd(ChannelHandlerContext ctx) {
 		this.isEndChecked = true;
-		BackendClient.Exchange ending = this.exchange;
+		Exchange ending = this.exchange;
 		long now = now();
 		ConnectionEnd end = isRequestArrived(now) ? ConnectionEnd.afterArrival(now, this.roundTrip)
 				: ConnectionEnd.at(now, this.roundTrip);
@@ -299,8 +299,7 @@
 		return this.client.loop().ticker().nanoTime();
 	}
 
-	private void handleEndCheck(ChannelHandlerContext ctx, BackendClient.Exchange ending, boolean isRegular,
-			long endNanos) {
+	private void handleEndCheck(ChannelHandlerContext ctx, Exchange ending, boolean isRegular, long endNanos) {
 		if (this.exchange != ending || ending.isEnded()) {
 			return;
 		}
@@ -316,7 +315,7 @@
 	}
 
 	private void completeExchange(ChannelHandlerContext ctx) {
-		BackendClient.Exchange completedExchange = this.exchange;
+		Exchange completedExchange = this.exchange;
 		this.exchange = null;
 		this.keepAliveTime.startIdle();
 		// Another request must not be sent before the body of this one is written.
@@ -329,7 +328,7 @@
 	}
 
 	private void failExchange(String detail) {
-		BackendClient.Exchange failed = this.exchange;
+		Exchange failed = this.exchange;
 		this.exchange = null;
 		BackendClient.reset(this.context.channel());
 		if (failed != null) {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -44,7 +44,7 @@
 
 	ServerEntry server;
 
-	BackendClient.Exchange exchange;
+	Exchange exchange;
 
 	private HttpResponse response;
 
