--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import io.netty.buffer.Unpooled;
@@ -42,12 +41,6 @@
 
 	private static final EventLog LOG = EventLog.of(Forwarder.class);
 
-	/**
-	 * Period of the dispatch when no other event triggers one, while requests are active
-	 * and the dispatch depends on the time.
-	 */
-	private static final long DISPATCH_PERIOD_MS = 20;
-
 	/** Period of the removal of expired evidence against prompt parts. */
 	private static final long EXPIRY_PERIOD_MS = 10_000;
 
@@ -55,10 +48,7 @@
 
 	private static final String HOST_STOPPING = "host_stopping";
 
-	/** Targets for the latency after which a request has ended, if all is well. */
-	private static final int EXPECTED_LATENCY_TARGETS = 2;
-
-	private final Map<RequestId, ForwardCall> calls = new HashMap<>();
+	private final ActiveCalls calls = new ActiveCalls();
 
 	private final EventLoop loop;
 
@@ -90,18 +80,12 @@
 
 	private RoutingTable table;
 
-	private boolean isDispatchScheduled;
+	private final DispatchSchedule dispatchSchedule;
 
-	private boolean isTimedDispatchScheduled;
+	private final HostStop stop = new HostStop();
 
 	private long acceptedRequestCount;
 
-	private boolean isAccepting = true;
-
-	private long stopNanos;
-
-	private boolean isStopping;
-
 	private Forwarder(EventLoop loop, BackendClient client, HeaderCodec headerCodec, TrafficController traffic,
 			ForwardMetrics metrics) {
 		this.loop = loop;
@@ -109,7 +93,9 @@
 		this.headerCodec = headerCodec;
 		this.traffic = traffic;
 		this.metrics = metrics;
-		this.promptGuard = new PromptGuard(client, metrics, this::endCallsWithPart);
+		this.promptGuard = new PromptGuard(client, metrics, this.calls::endThoseWithPart);
+		this.dispatchSchedule = new DispatchSchedule(loop, this::dispatch,
+				() -> !this.calls.isEmpty() && traffic.isDispatchTimed());
 		this.directory = ServerDirectory.create(this::engineProfile, (view) -> {
 			traffic.updateBackend(view, System.nanoTime());
 			scheduleDispatch();
@@ -201,7 +187,7 @@
 		this.traffic.apply(RevisionMapping.toRevision(next), System.nanoTime());
 		this.quotaGate.configure(quotaLimits(next), System.nanoTime());
 		this.directory.republish();
-		new ArrayList<>(this.calls.values()).forEach(ForwardCall::recheckAccess);
+		this.calls.recheckAccess();
 		scheduleDispatch();
 		return true;
 	}
@@ -275,7 +261,7 @@
 	 * @return the number of requests
 	 */
 	public int activeCount() {
-		return this.calls.size();
+		return this.calls.count();
 	}
 
 	/**
@@ -283,9 +269,7 @@
 	 * fail.
 	 */
 	public void abortAll() {
-		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
-			call.expire();
-		}
+		this.calls.abort();
 	}
 
 	/**
@@ -294,15 +278,14 @@
 	 * @param endNanos the time at which the active requests are ended, in nanoseconds
 	 */
 	public void startStopping(long endNanos) {
-		this.isStopping = true;
-		this.stopNanos = endNanos;
+		this.stop.start(endNanos);
 	}
 
 	/**
 	 * Refuses all further requests. Active requests are completed.
 	 */
 	public void stopAccepting() {
-		this.isAccepting = false;
+		this.stop.stopAccepting();
 	}
 
 	@Override
@@ -314,7 +297,7 @@
 	public ActiveRequest handle(IncomingRequest request, ResponseChannel channel) {
 		RequestMetadata metadata = this.headerCodec.decodeRequest(request.headers());
 		String id = metadata.id().orElse("none");
-		if (!this.isAccepting) {
+		if (!this.stop.isAccepting()) {
 			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, HOST_STOPPING);
 		}
 		if (this.table == null) {
@@ -332,27 +315,17 @@
 			AccessGuard.Refusal refusal = this.access.refusalOf(denied);
 			return refuse(request, channel, id, refusal.status(), refusal.reason());
 		}
-		if (!canEndInTime(route.get())) {
+		if (!this.stop.canEndInTime(route.get())) {
 			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, HOST_STOPPING);
 		}
 		RequestId key = RequestId.of(id + "." + this.acceptedRequestCount++);
 		Optional<Organisation> organisation = ((AccessDecision.Granted) decision).organisation();
 		ForwardCall call = new ForwardCall(this, key, request, metadata, route.get(), organisation, channel);
-		this.calls.put(key, call);
+		this.calls.add(call);
 		call.submit();
 		return call;
 	}
 
-	// Returns whether a request may be repeated or will probably end before this host
-	// stops.
-	private boolean canEndInTime(Route route) {
-		if (!this.isStopping || route.isRetryable()) {
-			return true;
-		}
-		long expectedNanos = route.targetLatency().multipliedBy(EXPECTED_LATENCY_TARGETS).toNanos();
-		return System.nanoTime() + expectedNanos < this.stopNanos;
-	}
-
 	private ActiveRequest refuse(IncomingRequest request, ResponseChannel channel, String id, HttpResponseStatus status,
 			String reason) {
 		request.body().release();
@@ -373,7 +346,7 @@
 	}
 
 	void removeCall(ForwardCall call) {
-		this.calls.remove(call.key());
+		this.calls.remove(call);
 	}
 
 	void recordCachedPrefix(BackendServerId engine, ModelId model, List<Long> blockHashes) {
@@ -392,46 +365,21 @@
 	}
 
 	void scheduleDispatch() {
-		if (!this.isDispatchScheduled) {
-			this.isDispatchScheduled = true;
-			this.loop.execute(this::dispatch);
-		}
-	}
-
-	// A dispatch follows each event of a request, so that none is missed between the
-	// times at which this is found unnecessary.
-	private void scheduleTimedDispatch() {
-		if (!this.isTimedDispatchScheduled && !this.calls.isEmpty() && this.traffic.isDispatchTimed()) {
-			this.isTimedDispatchScheduled = true;
-			this.loop.schedule(this::runTimedDispatch, DISPATCH_PERIOD_MS, TimeUnit.MILLISECONDS);
-		}
-	}
-
-	private void runTimedDispatch() {
-		this.isTimedDispatchScheduled = false;
-		dispatch();
+		this.dispatchSchedule.schedule();
 	}
 
 	private void dispatch() {
-		this.isDispatchScheduled = false;
-		try {
-			dispatchActions();
-		}
-		catch (RuntimeException ex) {
-			LOG.warn("dispatch_failed", "cause", ex);
+		for (TrafficAction action : this.traffic.dispatch(System.nanoTime())) {
+			this.calls.find(action.request()).ifPresent((call) -> carryOut(action, call));
 		}
-		scheduleTimedDispatch();
 	}
 
-	private void dispatchActions() {
-		for (TrafficAction action : this.traffic.dispatch(System.nanoTime())) {
-			ForwardCall call = this.calls.get(action.request());
-			if (call != null && action instanceof TrafficAction.Send send) {
-				call.send(send);
-			}
-			else if (call != null && action instanceof TrafficAction.Refuse refuse) {
-				call.refused(refuse);
-			}
+	private static void carryOut(TrafficAction action, ForwardCall call) {
+		if (action instanceof TrafficAction.Send send) {
+			call.send(send);
+		}
+		else if (action instanceof TrafficAction.Refuse refuse) {
+			call.refused(refuse);
 		}
 	}
 
@@ -466,7 +414,7 @@
 	 */
 	public void recordLeaving(ServerEntry server) {
 		this.directory.recordLeaving(server);
-		rerouteUnsentCalls(server.id(), "server_leaving");
+		this.calls.rerouteUnsent(server.id(), "server_leaving");
 	}
 
 	// Sends no requests to a server for some time, as it has asked for that.
@@ -476,24 +424,10 @@
 			return;
 		}
 		this.traffic.pauseBackend(server.id(), pause, System.nanoTime());
-		rerouteUnsentCalls(server.id(), "server_paused");
+		this.calls.rerouteUnsent(server.id(), "server_paused");
 		scheduleDispatch();
 	}
 
-	private void rerouteUnsentCalls(BackendServerId server, String reason) {
-		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
-			call.rerouteUnsent(server, reason);
-		}
-	}
-
-	private void endCallsWithPart(long part) {
-		for (ForwardCall call : new ArrayList<>(this.calls.values())) {
-			if (call.traits.all().contains(part)) {
-				call.endQuarantined();
-			}
-		}
-	}
-
 	@Override
 	public void addUnwrittenBytes(int bytes) {
 		this.responseBuffers.addUnwritten(bytes);
