--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -5,13 +5,10 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import org.celeryhill.base.AttemptId;
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.EventLog;
@@ -33,9 +30,6 @@
 
 	private static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
 
-	/** Difference between the priorities of adjacent priority classes at an engine. */
-	private static final int ENGINE_PRIORITY_STEP = 3;
-
 	private final ForwardCall call;
 
 	final AttemptId id;
@@ -101,7 +95,7 @@
 		boolean isFirst = this.call.sendCount == 0;
 		this.call.sendCount++;
 		this.startNanos = System.nanoTime();
-		FullHttpRequest backendRequest = buildBackendRequest();
+		FullHttpRequest backendRequest = BackendRequests.create(this.call, this.server);
 		BackendClient.PoolKey poolKey = poolKey();
 		Duration maxIdle = this.call.route.isRetryable() ? MAX_IDLE_RETRYABLE : MAX_IDLE_NON_RETRYABLE;
 		this.call.forwarder.metrics().recordSend(isFirst);
@@ -117,20 +111,6 @@
 		return new BackendClient.PoolKey(this.server.address(), this.server.incarnationId());
 	}
 
-	private FullHttpRequest buildBackendRequest() {
-		IncomingRequest original = this.call.incoming;
-		HttpHeaders headers = HopByHopHeaders.copyEndToEnd(original.headers(), this.call.forwarder.headerCodec());
-		long remainingNanos = Math.max(1, this.call.deadlineNanos - System.nanoTime());
-		int priority = this.call.request.priority().ordinal() * ENGINE_PRIORITY_STEP;
-		this.call.forwarder.headerCodec()
-			.encodeBackendRequest(headers, new HeaderCodec.BackendRequestValues(this.server.id(),
-					Duration.ofNanos(remainingNanos), priority, this.call.lastEventId, this.call.caller()));
-		ByteBuf bytes = original.body().retainedDuplicate();
-		HopByHopHeaders.setContentLength(headers, original, bytes.readableBytes());
-		return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, original.method(), original.target(), bytes, headers,
-				EmptyHttpHeaders.INSTANCE);
-	}
-
 	@Override
 	public Optional<String> requestIdOf(HttpResponse response) {
 		return this.call.forwarder.headerCodec().decodeResponse(response).attemptId();
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -36,15 +36,8 @@
 	/** Time after the deadline in which a response of a backend server is accepted. */
 	private static final long EXPIRY_SLACK_MS = 60;
 
-	private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(30);
-
 	private static final long NO_STATED_TOKENS = -1;
 
-	/**
-	 * Shortest time in which a request may start, for callers with hardly any time left.
-	 */
-	private static final Duration MIN_START = Duration.ofMillis(1);
-
 	/** Part of the target within which a caller should hear of a foreseeable refusal. */
 	private static final int FORESEEN_DIVISOR = 8;
 
@@ -123,37 +116,17 @@
 		this.channel = channel;
 		this.service = route.selectService(requestMetadata.id().orElseThrow());
 		this.lastEventId = requestMetadata.resumeAfter();
-		Duration deadline = requestMetadata.deadline().orElse(DEFAULT_DEADLINE);
-		Duration limit = (deadline.compareTo(route.timeout()) < 0) ? deadline : route.timeout();
-		this.deadlineNanos = incoming.arrivedNanos() + limit.toNanos();
+		CallRequest described = new CallRequest(key, requestMetadata, route, this.service, organisation,
+				incoming.arrivedNanos());
+		this.deadlineNanos = described.deadlineNanos();
 		this.traits = RequestFingerprint.traitsOf(incoming, requestMetadata);
 		this.prefixBlockHashes = PromptBlockHashes.of(requestMetadata.prompt());
-		this.arrival = requestMetadata.deadline()
-			.map((timeLeft) -> forwarder.callerPatience().classify(route.name(), timeLeft))
-			.orElse(RequestBounds.Arrival.FIRST);
-		TrafficRequest unbounded = new TrafficRequest(key,
-				organisation.map(Organisation::id).orElse(RevisionMapping.ORGANISATION), this.service,
-				requestMetadata.model().map(RequestMetadata.ModelName::toId), forwarder.priority(route, organisation),
-				requestMetadata.promptTokens(), requestMetadata.maxTokens(), this.prefixBlockHashes, true,
-				incoming.arrivedNanos());
-		this.request = requestMetadata.model().isPresent() ? unbounded.withBounds(bounds(limit)) : unbounded;
+		this.arrival = described.arrival(forwarder.callerPatience());
+		this.request = described.toTrafficRequest(forwarder, this.prefixBlockHashes, this.arrival);
 		long delay = this.deadlineNanos - System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EXPIRY_SLACK_MS);
 		this.expiryTimer = forwarder.loop().schedule(this::expire, delay, TimeUnit.NANOSECONDS);
 	}
 
-	private RequestBounds bounds(Duration limit) {
-		Duration latest = this.arrival.isReturn() ? AbsentModelCheck.longestWait(this.route)
-				: RevisionMapping.latestStart(this.route);
-		Duration start = (latest.compareTo(limit) < 0) ? latest : limit;
-		Duration target = this.route.targetLatency();
-		return new RequestBounds(isPositive(target) ? target : start, isPositive(start) ? start : MIN_START,
-				CallerPatience.longestReturn(limit), this.arrival);
-	}
-
-	private static boolean isPositive(Duration duration) {
-		return !duration.isZero() && !duration.isNegative();
-	}
-
 	RequestId key() {
 		return this.key;
 	}
