Look twice at the end of a response to a request that has arrived

A server that has not read a request of a few bytes resets the connection right behind its regular end. The first look could come between the two, so that a part of a response without length counted as whole or not by chance. The second look, 1 ms later, finds the reset.

--- a/base/src/main/java/org/celeryhill/base/ConnectionEnd.java
+++ b/base/src/main/java/org/celeryhill/base/ConnectionEnd.java
@@ -52,15 +52,17 @@
 
 	/**
 	 * Returns the decision on a connection that has just ended and whose request was sent
-	 * at once, a round trip ago or earlier. All of it has arrived, unless the system
-	 * still holds a part of it.
+	 * at once, a round trip ago or earlier. It has arrived, unless the system still holds
+	 * a part of it. A server that has not read it resets the connection right behind the
+	 * end, so that a second look is needed.
 	 * @param nowNanos the time on a monotonic clock in nanoseconds
 	 * @param roundTrip the round-trip time of the connection, not null, not negative
 	 * @return the decision, never null
 	 */
 	public static ConnectionEnd afterArrival(long nowNanos, Duration roundTrip) {
 		Objects.requireNonNull(roundTrip, "roundTrip");
-		return new ConnectionEnd(nowNanos, roundTrip.toNanos(), nowNanos - roundTrip.toNanos());
+		long deliveredSinceNanos = nowNanos - roundTrip.toNanos() + LOOK_PERIOD.toNanos();
+		return new ConnectionEnd(nowNanos, roundTrip.toNanos(), deliveredSinceNanos);
 	}
 
 	/**
--- a/forward/src/test/java/org/celeryhill/forward/ConnectionEndCheckTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ConnectionEndCheckTests.java
@@ -59,12 +59,25 @@
 
 	// Guards against a wait for a reset that cannot come any more.
 	@Test
-	void deliveredRequestThatArrivedEndsAtOnce() {
+	void deliveredRequestThatArrivedEndsAtSecondLook() {
 		this.state = SendState.DELIVERED;
-		start(true, ROUND_TRIP);
+		start(true, Duration.ofMillis(25));
+		assertThat(this.results).isEmpty();
+		advance(1);
 		assertThat(this.results).containsExactly(true);
 	}
 
+	// Guards against a reset right behind the end that the first look comes too early
+	// for.
+	@Test
+	void resetOfUnreadRequestThatArrivedIsNoEnd() {
+		this.state = SendState.DELIVERED;
+		start(true, ROUND_TRIP);
+		this.state = SendState.RESET;
+		advance(1);
+		assertThat(this.results).containsExactly(false);
+	}
+
 	// Guards against an end that counts while the last segment is on its way.
 	@Test
 	void deliveredRequestEndsAfterRoundTrip() {
--- a/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
+++ b/forward/src/test/java/org/celeryhill/forward/ResponseWithoutLengthTests.java
@@ -92,6 +92,10 @@
 	// response, and then ends on the event loop of the host, which can read nothing
 	// meanwhile.
 	private String postBuffered(String path, Ending ending) throws Exception {
+		return post(path, BUFFERED_BODY, ending);
+	}
+
+	private String post(String path, String body, Ending ending) throws Exception {
 		CountDownLatch isResponseRead = new CountDownLatch(1);
 		try (ScriptedServer server = ScriptedServer.createForHeads((request, connection) -> {
 			startResponse(request, connection, 200, PART);
@@ -99,7 +103,7 @@
 			await(isResponseRead);
 		})) {
 			this.fixture.addServer("s1", ForwardFixture.PLAIN_SERVICE, server);
-			String response = this.fixture.sendAndReadAll(ForwardFixture.postRequest(path, "r1", BUFFERED_BODY));
+			String response = this.fixture.sendAndReadAll(ForwardFixture.postRequest(path, "r1", body));
 			isResponseRead.countDown();
 			return response;
 		}
@@ -220,6 +224,17 @@
 		assertThat(response).contains("data: t1").doesNotEndWith("0\r\n\r\n");
 	}
 
+	// Guards against the same where the request is a few bytes long and has arrived, but
+	// was not read.
+	@Test
+	void resetOfShortRequestIsNoEnd() throws Exception {
+		String response = post("/once/x", "b", (connection) -> {
+			connection.startEnd();
+			connection.reset();
+		});
+		assertThat(response).startsWith("HTTP/1.1 502").doesNotContain(PART);
+	}
+
 	// Guards against a whole response that is dropped because its server reads the
 	// request, which the host has handed over, slowly or not at all after its end.
 	@Test
