Give hosts shares of a quota by what is requested of them

Cause: shares of the rate followed the units that hosts had admitted. At an organisation's limit a host admits the more the sooner it is answered, and the holder's own host is answered at once. Change: reports tell what was requested, admitted or not; shares follow that. Reports of hosts of an earlier version count as before.

--- a/edge/src/main/java/org/celeryhill/edge/QuotaMessages.java
+++ b/edge/src/main/java/org/celeryhill/edge/QuotaMessages.java
@@ -37,6 +37,7 @@
 				ArrayNode values = entries.addArray().add(entry.organisation().value()).add(entry.admitted());
 				addGrant(values, entry.grant());
 				values.add(entry.largest()).add(entry.need()).add(entry.first());
+				values.add(entry.requested() - entry.admitted());
 			}
 		}
 		return node;
@@ -45,7 +46,11 @@
 	static QuotaReport decodeReport(JsonNode node) {
 		List<QuotaReport.Entry> entries = new ArrayList<>();
 		for (JsonNode values : node.path("entries")) {
-			entries.add(new QuotaReport.Entry(OrganisationId.of(values.path(0).asText()), values.path(1).asLong(),
+			long admitted = values.path(1).asLong();
+			// Hosts of an earlier version do not tell what was requested and not
+			// admitted.
+			long requested = admitted + values.path(8).asLong();
+			entries.add(new QuotaReport.Entry(OrganisationId.of(values.path(0).asText()), requested, admitted,
 					decodeGrant(values, 2), values.path(5).asLong(), values.path(6).asLong(), values.path(7).asLong()));
 		}
 		return new QuotaReport(node.path("host").asText(), node.path("term").asLong(), node.path("sequence").asLong(),
--- a/edge/src/test/java/org/celeryhill/edge/QuotaMessagesTests.java
+++ b/edge/src/test/java/org/celeryhill/edge/QuotaMessagesTests.java
@@ -28,7 +28,7 @@
 	private static QuotaReport report(boolean isWhole, int count) {
 		List<QuotaReport.Entry> entries = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
-			entries.add(new QuotaReport.Entry(OrganisationId.of("organisation-" + i), 123_456_789,
+			entries.add(new QuotaReport.Entry(OrganisationId.of("organisation-" + i), 123_466_789, 123_456_789,
 					new QuotaGrant(123_470_000, true, 0.011625), 6_900, 2_368, 200));
 		}
 		return new QuotaReport("edge-ege-a-17-a1b2c3d4", 18, 123_456, isWhole, entries);
--- a/quota/src/main/java/org/celeryhill/quota/HostAccount.java
+++ b/quota/src/main/java/org/celeryhill/quota/HostAccount.java
@@ -12,6 +12,9 @@
 	/** Whether the host has reported the organisation. */
 	boolean isKnown;
 
+	/** Units that were requested of the host in total, as it reported last. */
+	long requested;
+
 	/** Units that the host has admitted in total, as it reported last. */
 	long admitted;
 
@@ -27,6 +30,9 @@
 	/** Average of the admitted units per second. */
 	double demand;
 
+	/** Average of the requested units per second, whether they were admitted or not. */
+	double requestedDemand;
+
 	private long demandNanos;
 
 	HostAccount(long now) {
@@ -37,11 +43,14 @@
 		return Math.max(0, this.grant.ceiling() - this.admitted);
 	}
 
-	// Adds admitted units to the average of the demand, which decays otherwise.
-	void recordDemand(double units, long now) {
+	// Adds requested and admitted units to the averages of the demand, which decay
+	// otherwise.
+	void recordDemand(double requestedUnits, double admittedUnits, long now) {
 		double elapsed = QuotaTimes.seconds(now - this.demandNanos);
 		this.demandNanos = now;
-		this.demand = Math.max(0, this.demand * Math.exp(-elapsed / DEMAND_SECONDS) + units / DEMAND_SECONDS);
+		double kept = Math.exp(-elapsed / DEMAND_SECONDS);
+		this.demand = Math.max(0, this.demand * kept + admittedUnits / DEMAND_SECONDS);
+		this.requestedDemand = Math.max(0, this.requestedDemand * kept + requestedUnits / DEMAND_SECONDS);
 	}
 
 }
--- a/quota/src/main/java/org/celeryhill/quota/HostQuota.java
+++ b/quota/src/main/java/org/celeryhill/quota/HostQuota.java
@@ -120,6 +120,7 @@
 			reject(account, units, decided, QuotaDecision.Reason.LARGER_THAN_BURST, Optional.empty());
 			return ticket;
 		}
+		account.requested += units;
 		account.largest = Math.max(account.largest, units);
 		expire(account, now);
 		PendingRequest request = new PendingRequest(units, now, decided, ticket);
--- a/quota/src/main/java/org/celeryhill/quota/LocalAccount.java
+++ b/quota/src/main/java/org/celeryhill/quota/LocalAccount.java
@@ -21,6 +21,8 @@
 
 	QuotaGrant grant = QuotaGrant.NONE;
 
+	long requested;
+
 	long admitted;
 
 	long largest;
@@ -31,6 +33,8 @@
 	/** Time at which the holder expects units for a further request. */
 	long expectedNanos;
 
+	private long reportedRequested;
+
 	private long reportedAdmitted;
 
 	private boolean isReported;
@@ -130,6 +134,7 @@
 	}
 
 	void refund(long units) {
+		this.requested -= units;
 		this.admitted -= units;
 	}
 
@@ -138,15 +143,18 @@
 	}
 
 	boolean isChanged() {
-		return !this.isReported || this.admitted != this.reportedAdmitted || !this.waiting.isEmpty();
+		boolean isUsed = this.requested != this.reportedRequested || this.admitted != this.reportedAdmitted;
+		return !this.isReported || isUsed || !this.waiting.isEmpty();
 	}
 
 	// Returns the state for a report.
 	QuotaReport.Entry report() {
 		long first = this.waiting.isEmpty() ? 0 : this.waiting.peekFirst().units();
+		this.reportedRequested = this.requested;
 		this.reportedAdmitted = this.admitted;
 		this.isReported = true;
-		return new QuotaReport.Entry(this.organisation, this.admitted, this.grant, this.largest, waitingUnits(), first);
+		return new QuotaReport.Entry(this.organisation, this.requested, this.admitted, this.grant, this.largest,
+				waitingUnits(), first);
 	}
 
 }
--- a/quota/src/main/java/org/celeryhill/quota/OrganisationPool.java
+++ b/quota/src/main/java/org/celeryhill/quota/OrganisationPool.java
@@ -79,6 +79,8 @@
 
 	private double demand;
 
+	private double requestedDemand;
+
 	private long largest;
 
 	private long refilledNanos;
@@ -150,13 +152,15 @@
 
 	// Records the state that a host reports.
 	void record(HostAccount account, QuotaReport.Entry entry, long now) {
+		double requested = entry.requested() - account.requested;
 		double used = entry.admitted() - account.admitted;
+		account.requested = entry.requested();
 		account.admitted = entry.admitted();
 		replaceShare(account, entry.grant().share());
 		account.grant = entry.grant();
 		if (account.isKnown) {
 			settle(account, used);
-			recordDemand(account, used, now);
+			recordDemand(account, requested, used, now);
 			this.recentUse.add(used, now);
 		}
 		else if (!entry.grant().isLoan()) {
@@ -176,7 +180,7 @@
 			settle(account, 0);
 			reserve(account, account.grant.isLoan() ? 0 : account.unused());
 		}
-		recordDemand(account, 0, now);
+		recordDemand(account, 0, 0, now);
 	}
 
 	// Replaces what a host was assumed to have used by what it has used.
@@ -186,10 +190,12 @@
 		account.assumed = 0;
 	}
 
-	private void recordDemand(HostAccount account, double used, long now) {
+	private void recordDemand(HostAccount account, double requested, double used, long now) {
 		this.demand -= account.demand;
-		account.recordDemand(used, now);
+		this.requestedDemand -= account.requestedDemand;
+		account.recordDemand(requested, used, now);
 		this.demand = Math.max(0, this.demand + account.demand);
+		this.requestedDemand = Math.max(0, this.requestedDemand + account.requestedDemand);
 	}
 
 	private void reserve(HostAccount account, double amount) {
@@ -219,6 +225,7 @@
 		replaceShare(account, 0);
 		this.assumed = Math.max(0, this.assumed - account.assumed);
 		this.demand = Math.max(0, this.demand - account.demand);
+		this.requestedDemand = Math.max(0, this.requestedDemand - account.requestedDemand);
 	}
 
 	/**
@@ -297,10 +304,13 @@
 		return Math.max(this.largest, this.limit.unit().cost(this.limit.defaultTokens()));
 	}
 
+	// Returns the part of the rate for a host. It follows what is requested there, since
+	// what a host has admitted of a rate that does not suffice depends on how soon it is
+	// answered.
 	private double nextShare(HostAccount account, int hosts) {
 		double even = 1.0 / hosts;
-		double used = (this.demand > 0) ? account.demand / this.demand : even;
-		double wanted = EVEN_PART * even + (1 - EVEN_PART) * used;
+		double part = (this.requestedDemand > 0) ? account.requestedDemand / this.requestedDemand : even;
+		double wanted = EVEN_PART * even + (1 - EVEN_PART) * part;
 		double previous = account.grant.share();
 		double next = Math.min(wanted, Math.max(0, 1 - (this.shares - previous)));
 		boolean isKept = Math.abs(next - previous) <= MIN_CHANGE * Math.max(previous, even);
--- a/quota/src/main/java/org/celeryhill/quota/QuotaReport.java
+++ b/quota/src/main/java/org/celeryhill/quota/QuotaReport.java
@@ -27,14 +27,16 @@
 	 * State of one organisation on the host.
 	 *
 	 * @param organisation the organisation, not null
+	 * @param requested the units requested since the process started, admitted or not,
+	 * less refunds
 	 * @param admitted the units admitted since the process started, less refunds
 	 * @param grant the grant in force, not null
 	 * @param largest the units of the largest request since the process started
 	 * @param need the units of the requests that wait for the answer
 	 * @param first the units of the request that has waited longest
 	 */
-	public record Entry(OrganisationId organisation, long admitted, QuotaGrant grant, long largest, long need,
-			long first) {
+	public record Entry(OrganisationId organisation, long requested, long admitted, QuotaGrant grant, long largest,
+			long need, long first) {
 
 		/** Creates an entry. */
 		public Entry {
--- a/quota/src/test/java/org/celeryhill/quota/QuotaModel.java
+++ b/quota/src/test/java/org/celeryhill/quota/QuotaModel.java
@@ -350,8 +350,8 @@
 			List<QuotaReport.Entry> entries = new ArrayList<>();
 			for (QuotaReport.Entry entry : report.entries()) {
 				this.hidden.put(entry.organisation(), entry.admitted());
-				entries.add(new QuotaReport.Entry(entry.organisation(), 0, withHidden(entry.grant(), -entry.admitted()),
-						entry.largest(), entry.need(), entry.first()));
+				entries.add(new QuotaReport.Entry(entry.organisation(), 0, 0,
+						withHidden(entry.grant(), -entry.admitted()), entry.largest(), entry.need(), entry.first()));
 			}
 			return new QuotaReport(report.host(), report.term(), report.sequence(), report.isWhole(), entries);
 		}
