--- a/forward/src/main/java/org/celeryhill/forward/AccessGuard.java
+++ b/forward/src/main/java/org/celeryhill/forward/AccessGuard.java
@@ -1,5 +1,6 @@
 package org.celeryhill.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -79,6 +80,16 @@
 	 * @param reason the reason, for logs and metrics
 	 */
 	record Refusal(HttpResponseStatus status, String reason) {
+
+		/** Time after which this host probably knows the newest configuration. */
+		private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+
+		// Returns the time after which the caller may ask again, empty if it need not.
+		Optional<Duration> retryAfter() {
+			boolean isUndecided = this.status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+			return isUndecided ? Optional.of(RETRY_AFTER) : Optional.empty();
+		}
+
 	}
 
 }
--- a/forward/src/main/java/org/celeryhill/forward/ActiveCalls.java
+++ b/forward/src/main/java/org/celeryhill/forward/ActiveCalls.java
@@ -18,11 +18,11 @@
 	private final Map<RequestId, ForwardCall> calls = new HashMap<>();
 
 	void add(ForwardCall call) {
-		this.calls.put(call.key(), call);
+		this.calls.put(call.key, call);
 	}
 
 	void remove(ForwardCall call) {
-		this.calls.remove(call.key());
+		this.calls.remove(call.key);
 	}
 
 	Optional<ForwardCall> find(RequestId key) {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardAttempt.java
@@ -1,6 +1,5 @@
 package org.celeryhill.forward;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -22,14 +21,6 @@
 
 	private static final EventLog LOG = EventLog.of(ForwardAttempt.class);
 
-	/**
-	 * Lower for requests that may not be retried, as the server may close a connection
-	 * that has been idle for longer.
-	 */
-	private static final Duration MAX_IDLE_NON_RETRYABLE = Duration.ofMillis(700);
-
-	private static final Duration MAX_IDLE_RETRYABLE = Duration.ofSeconds(4);
-
 	private final ForwardCall call;
 
 	final AttemptId id;
@@ -47,9 +38,11 @@
 	/** Relays the response if it is a stream to pass on, else null. */
 	private StreamRelay streamRelay;
 
-	private long startNanos;
+	/** What this attempt shows about the prompt, null until it starts. */
+	AttemptEvidence evidence;
 
-	private boolean isServedRecorded;
+	/** Takes note of what the server says, null until the attempt starts. */
+	private ServerStatements statements;
 
 	private boolean isFinished;
 
@@ -94,17 +87,19 @@
 	void start() {
 		boolean isFirst = this.call.sendCount == 0;
 		this.call.sendCount++;
-		this.startNanos = System.nanoTime();
+		long startNanos = System.nanoTime();
+		this.evidence = new AttemptEvidence(this.call, startNanos);
+		this.statements = new ServerStatements(this.call.forwarder, this.server);
 		FullHttpRequest backendRequest = BackendRequests.create(this.call, this.server);
 		BackendClient.PoolKey poolKey = poolKey();
-		Duration maxIdle = this.call.route.isRetryable() ? MAX_IDLE_RETRYABLE : MAX_IDLE_NON_RETRYABLE;
 		this.call.forwarder.metrics().recordSend(isFirst);
 		this.call.forwarder.metrics().recordChoice(this.server.dataCentre());
 		this.exchange = this.call.forwarder.client()
-			.send(poolKey, backendRequest, this.call.requestMetadata.id().orElseThrow(), maxIdle, this);
+			.send(poolKey, backendRequest, this.call.requestMetadata.id().orElseThrow(),
+					BackendRequests.maxIdle(this.call.route), this);
 		LOG.info("request_sent", "request", this.call.key, "attempt", this.id, "server", serverId(), "connection",
 				this.exchange.connectionUse(), "route", this.call.route.name(), "send", this.call.sendCount,
-				"waited_ms", TimeUnit.NANOSECONDS.toMillis(this.startNanos - this.call.incoming.arrivedNanos()));
+				"waited_ms", TimeUnit.NANOSECONDS.toMillis(startNanos - this.call.incoming.arrivedNanos()));
 	}
 
 	private BackendClient.PoolKey poolKey() {
@@ -124,7 +119,7 @@
 			rejectForeignResponse();
 			return;
 		}
-		observeServer();
+		this.statements.observe(this.responseMetadata);
 		boolean isStream = this.call.route.kind() == Route.Kind.STREAM && isSuccess();
 		if (isStream && this.responseMetadata.isSigned() && !this.isDetached) {
 			this.streamRelay = new StreamRelay(this, this.call, response);
@@ -142,22 +137,6 @@
 		finish(AttemptOutcome.BROKEN);
 	}
 
-	// Takes note of what the server says of itself.
-	private void observeServer() {
-		this.responseMetadata.load().ifPresent(this::observeLoad);
-		this.responseMetadata.oddLoad()
-			.ifPresent((text) -> this.call.forwarder.directory().recordOddLoad(this.server.id(), text));
-		if (this.responseMetadata.isLeaving()) {
-			this.call.forwarder.recordLeaving(this.server);
-		}
-		this.responseMetadata.pause().ifPresent((pause) -> this.call.forwarder.pauseServer(this.server, pause));
-	}
-
-	private void observeLoad(ResponseMetadata.Load load) {
-		this.call.forwarder.directory().observeLoad(this.server.id(), load);
-		this.call.forwarder.metrics().recordPace(load.pace() / (double) ResponseMetadata.Load.USUAL_PACE);
-	}
-
 	private boolean isSuccess() {
 		return this.response.status().code() / 100 == 2;
 	}
@@ -202,9 +181,7 @@
 		this.exchange.setReading(this.body.writePassed());
 	}
 
-	/**
-	 * Sends the head of the response to the caller, ahead of its body.
-	 */
+	// Sends the head of the response to the caller, ahead of its body.
 	void startStream() {
 		this.call.isStreaming = true;
 		this.call.channel.startStream(this.response.status(), endToEndHeaders());
@@ -301,19 +278,14 @@
 		if (!this.body.isPassedWritten() || this.call.isEnded()) {
 			return;
 		}
-		recordServed();
+		this.evidence.recordServed();
 		this.call.finish(this.response.status().code(), "complete");
 		this.call.channel.endStream();
 	}
 
 	private void retryNotExecuted() {
 		finish(AttemptOutcome.REFUSED);
-		boolean isMisdirected = this.response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-		if (isMisdirected) {
-			this.call.requestMetadata.model()
-				.filter((name) -> name.adapter().isPresent())
-				.ifPresent((name) -> this.call.forwarder.directory().removeAdapter(this.server.id(), name.toId()));
-		}
+		this.statements.observeNotExecuted(this.response.status(), this.call.requestMetadata);
 		this.call.retryOrEnd("not_executed:" + this.response.status().code());
 	}
 
@@ -322,7 +294,7 @@
 			abortExchange("stream ended within an event or without any");
 			return;
 		}
-		recordServed();
+		this.evidence.recordServed();
 		finish(AttemptOutcome.COMPLETED);
 		this.call.finish(this.response.status().code(), "complete");
 		this.call.channel.endStream();
@@ -330,7 +302,7 @@
 
 	private void forwardResponse() {
 		if (isSuccess()) {
-			recordServed();
+			this.evidence.recordServed();
 		}
 		finish(AttemptOutcome.COMPLETED);
 		this.call.executionCount++;
@@ -361,26 +333,11 @@
 			this.call.retryOrEnd("not_sent");
 			return;
 		}
-		this.call.forwarder.promptGuard()
-			.recordBroken(poolKey(), new CrashDetector.BrokenRequest(this.call.key, this.call.traits.all(),
-					this.call.executionCount > 0, isRunConfirmed()));
+		boolean isRunConfirmed = this.streamRelay != null && this.streamRelay.isRunConfirmed();
+		this.evidence.recordBroken(poolKey(), isRunConfirmed);
 		handleFailureAfterSend(detail);
 	}
 
-	/**
-	 * Records once that the engine process has survived the request.
-	 */
-	void recordServed() {
-		if (!this.isServedRecorded) {
-			this.isServedRecorded = true;
-			this.call.forwarder.promptGuard().recordServed(this.call.traits, this.startNanos);
-		}
-	}
-
-	private boolean isRunConfirmed() {
-		return this.streamRelay != null && this.streamRelay.isRunConfirmed();
-	}
-
 	private void abortExchange(String detail) {
 		writeEvents();
 		this.exchange.cancel();
@@ -428,10 +385,6 @@
 		this.isDetached = true;
 		this.body.releasePassed();
 		this.exchange.setReading(true);
-		cancelAtDeadline();
-	}
-
-	private void cancelAtDeadline() {
 		long delay = this.call.deadlineNanos - System.nanoTime();
 		this.call.forwarder.loop().schedule(() -> {
 			if (!this.isFinished) {
--- a/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
+++ b/forward/src/main/java/org/celeryhill/forward/ForwardCall.java
@@ -15,7 +15,6 @@
 import org.celeryhill.access.Organisation;
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.EventLog;
-import org.celeryhill.base.PriorityClass;
 import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.quota.QuotaDecision;
@@ -38,14 +37,14 @@
 
 	private static final long NO_STATED_TOKENS = -1;
 
-	/** Part of the target within which a caller should hear of a foreseeable refusal. */
-	private static final int FORESEEN_DIVISOR = 8;
-
 	private static final String QUARANTINED = "prompt_quarantined";
 
 	/** Time after which a caller may ask again where this host could not decide. */
 	private static final Duration UNDECIDED_RETRY_AFTER = Duration.ofMillis(300);
 
+	/** Time after which a caller may ask again whose request no server could take. */
+	private static final Duration UNSERVED_RETRY_AFTER = Duration.ofMillis(200);
+
 	/** Part of the latency target that is left for the execution, as a divisor. */
 	private static final int EXECUTION_TARGET_DIVISOR = 2;
 
@@ -68,9 +67,6 @@
 
 	final TrafficRequest request;
 
-	/** Whether the caller has been refused before. */
-	private final RequestBounds.Arrival arrival;
-
 	final List<Long> prefixBlockHashes;
 
 	/** What identifies the content of the request. */
@@ -78,13 +74,17 @@
 
 	final long deadlineNanos;
 
+	private final CallRecord record;
+
+	final ModelDemand demand;
+
+	/** Whether the caller has been refused before. */
+	private final boolean isReturn;
+
 	private Future<?> expiryTimer;
 
 	private final QuotaAdmission quota = new QuotaAdmission();
 
-	/** Ends the wait for the quota, null if the request does not wait for it. */
-	private Future<?> quotaTimer;
-
 	private ForwardAttempt attempt;
 
 	int executionCount;
@@ -121,25 +121,19 @@
 		this.deadlineNanos = described.deadlineNanos();
 		this.traits = RequestFingerprint.traitsOf(incoming, requestMetadata);
 		this.prefixBlockHashes = PromptBlockHashes.of(requestMetadata.prompt());
-		this.arrival = described.arrival(forwarder.callerPatience());
-		this.request = described.toTrafficRequest(forwarder, this.prefixBlockHashes, this.arrival);
+		RequestBounds.Arrival arrival = described.arrival(forwarder.callerPatience());
+		this.isReturn = arrival.isReturn();
+		this.request = described.toTrafficRequest(forwarder, this.prefixBlockHashes, arrival);
+		this.record = new CallRecord(this, arrival);
+		this.demand = new ModelDemand(this);
 		long delay = this.deadlineNanos - System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EXPIRY_SLACK_MS);
 		this.expiryTimer = forwarder.loop().schedule(this::expire, delay, TimeUnit.NANOSECONDS);
 	}
 
-	RequestId key() {
-		return this.key;
-	}
-
 	boolean isEnded() {
 		return this.isEnded;
 	}
 
-	// Returns what a backend server may know of the caller.
-	HeaderCodec.Caller caller() {
-		return new HeaderCodec.Caller(this.forwarder.access().isIdentifying(), this.organisation.map(Organisation::id));
-	}
-
 	void submit() {
 		Optional<Duration> quarantine = this.forwarder.promptGuard().check(this.traits, System.nanoTime());
 		if (quarantine.isPresent()) {
@@ -153,15 +147,12 @@
 		long tokens = this.requestMetadata.statedTokens().orElse(NO_STATED_TOKENS);
 		this.quota.ask(this.forwarder.quotaGate(), this.organisation.get().id(), tokens, System.nanoTime(),
 				this::handleQuotaDecision);
-		if (this.quota.isWaiting()) {
-			Duration target = this.route.targetLatency().isZero() ? this.route.timeout() : this.route.targetLatency();
-			long wait = target.toNanos() / EXECUTION_TARGET_DIVISOR;
-			this.quotaTimer = this.forwarder.loop().schedule(this::endQuotaWait, wait, TimeUnit.NANOSECONDS);
-		}
+		Duration target = this.route.targetLatency().isZero() ? this.route.timeout() : this.route.targetLatency();
+		this.quota.limitWait(this.forwarder.loop(), target.toNanos() / EXECUTION_TARGET_DIVISOR,
+				() -> refuse("quota_undecided", UNDECIDED_RETRY_AFTER));
 	}
 
 	private void handleQuotaDecision(QuotaDecision decision) {
-		cancelQuotaTimer();
 		if (decision instanceof QuotaDecision.Rejected rejection) {
 			String reason = "quota_" + rejection.reason().name().toLowerCase(Locale.ROOT);
 			refuse(HttpResponseStatus.TOO_MANY_REQUESTS, reason, rejection.retryAfter());
@@ -171,48 +162,20 @@
 		}
 	}
 
-	private void cancelQuotaTimer() {
-		if (this.quotaTimer != null) {
-			this.quotaTimer.cancel(false);
-			this.quotaTimer = null;
-		}
-	}
-
-	// Refuses the request if its quota has not been decided in time for its target.
-	private void endQuotaWait() {
-		if (!this.isEnded && this.quota.isWaiting()) {
-			refuse("quota_undecided", UNDECIDED_RETRY_AFTER);
-		}
-	}
-
 	private void offer() {
-		this.requestMetadata.model()
-			.ifPresent((name) -> this.forwarder.demandListener()
-				.onRequest(this.service, name.model(), value(this.request.priority())));
+		this.demand.recordRequest();
 		Optional<Duration> retryDelay = this.requestMetadata.model()
 			.flatMap((name) -> AbsentModelCheck.findRetryDelay(this.forwarder, this.route, this.service, name.model(),
-					this.arrival.isReturn()));
+					this.isReturn));
 		if (retryDelay.isPresent()) {
 			refuse("model_absent", retryDelay.get());
 			return;
 		}
-		Optional<TrafficAction.Refuse> refusal = this.forwarder.traffic().offer(this.request, System.nanoTime());
-		if (refusal.isPresent()) {
-			refused(refusal.get());
-		}
-		else {
-			this.forwarder.scheduleDispatch();
-		}
+		dispatchUnless(this.forwarder.traffic().offer(this.request, System.nanoTime()));
 	}
 
-	void reportLateRequest() {
-		this.requestMetadata.model()
-			.ifPresent((name) -> this.forwarder.demandListener()
-				.onLateRequest(this.service, name.model(), value(this.request.priority())));
-	}
-
-	private static double value(PriorityClass priority) {
-		return 1 << (PriorityClass.values().length - 1 - priority.ordinal());
+	private void dispatchUnless(Optional<TrafficAction.Refuse> refusal) {
+		refusal.ifPresentOrElse(this::refused, this.forwarder::scheduleDispatch);
 	}
 
 	void send(TrafficAction.Send send) {
@@ -229,15 +192,8 @@
 			return;
 		}
 		newAttempt.server = server.get();
-		Optional<RequestMetadata.ModelName> adapter = this.requestMetadata.model()
-			.filter((name) -> name.adapter().isPresent());
-		if (adapter.isEmpty() || this.forwarder.directory().hasAdapter(send.backend(), adapter.get().toId())) {
-			adapter.ifPresent((name) -> this.forwarder.adapterLoader().recordUse(send.backend(), name));
-			newAttempt.start();
-			return;
-		}
-		this.forwarder.adapterLoader()
-			.load(send.backend(), adapter.get(), (isLoaded) -> handleAdapterResult(newAttempt, isLoaded));
+		AdapterStep.prepare(this.forwarder, this.requestMetadata, send.backend(),
+				(isLoaded) -> handleAdapterResult(newAttempt, isLoaded));
 	}
 
 	private void handleAdapterResult(ForwardAttempt loadingAttempt, boolean isLoaded) {
@@ -270,11 +226,22 @@
 		if (this.isStreaming) {
 			abort("stream_not_resumed:" + reason);
 		}
+		else {
+			endUnserved(reason, () -> refuse(reason, refusal.retryAfter()));
+		}
+	}
+
+	// Ends the request, which is not served: it fails if a backend server may have run
+	// it, else it is refused.
+	private void endUnserved(String reason, Runnable refusal) {
+		if (this.isStreaming) {
+			abort(reason);
+		}
 		else if (this.mayHaveRun) {
 			fail(HttpResponseStatus.BAD_GATEWAY, reason);
 		}
 		else {
-			refuse(reason, refusal.retryAfter());
+			refusal.run();
 		}
 	}
 
@@ -288,21 +255,12 @@
 		AccessGuard.addChallenge(headers, status);
 		this.forwarder.metrics().refused(reason);
 		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-			recordAdmissionRefusal(reason);
+			this.record.recordAdmissionRefusal(reason);
 		}
 		finish(status.code(), reason);
 		this.channel.respond(status, headers, Unpooled.EMPTY_BUFFER);
 	}
 
-	private void recordAdmissionRefusal(String reason) {
-		if (this.request.bounds().isEmpty()) {
-			return;
-		}
-		long waitedNanos = System.nanoTime() - this.incoming.arrivedNanos();
-		boolean isForeseen = waitedNanos <= this.request.bounds().get().firstToken().toNanos() / FORESEEN_DIVISOR;
-		this.forwarder.metrics().recordAdmissionRefusal(reason, this.request.organisation(), isForeseen, this.arrival);
-	}
-
 	void fail(HttpResponseStatus status, String reason) {
 		finish(status.code(), reason);
 		this.channel.respond(status, EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER);
@@ -316,27 +274,23 @@
 	// Ends the request after a part of its prompt came into quarantine, unless its engine
 	// has begun to respond.
 	void endQuarantined() {
-		boolean isInFlight = this.attempt != null && this.attempt.isInFlight();
-		if (this.isEnded || (this.isStreaming && isInFlight)) {
+		if (this.isEnded || (this.isStreaming && isInFlight())) {
 			return;
 		}
-		if (this.isStreaming) {
-			abort(QUARANTINED);
-			return;
-		}
-		if (this.mayHaveRun || isInFlight) {
+		if (isInFlight()) {
 			fail(HttpResponseStatus.BAD_GATEWAY, QUARANTINED);
 			return;
 		}
-		Optional<Duration> wait = this.forwarder.promptGuard().check(this.traits, System.nanoTime());
-		wait.ifPresent((delay) -> refuse(QUARANTINED, delay));
+		endUnserved(QUARANTINED,
+				() -> this.forwarder.promptGuard()
+					.check(this.traits, System.nanoTime())
+					.ifPresent((delay) -> refuse(QUARANTINED, delay)));
 	}
 
 	// Ends the request if the configuration no longer allows it, unless a backend server
 	// works on it or has responded.
 	void recheckAccess() {
-		boolean isInFlight = this.attempt != null && this.attempt.isInFlight();
-		if (!this.isEnded && !isInFlight && !isResponsePassedOn()) {
+		if (!this.isEnded && !isInFlight() && !isResponsePassedOn()) {
 			endIfDenied();
 		}
 	}
@@ -348,18 +302,7 @@
 			return false;
 		}
 		String reason = refusal.get().reason();
-		if (this.isStreaming) {
-			abort(reason);
-		}
-		else if (this.mayHaveRun) {
-			fail(HttpResponseStatus.BAD_GATEWAY, reason);
-		}
-		else if (refusal.get().status() == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-			refuse(reason, UNDECIDED_RETRY_AFTER);
-		}
-		else {
-			refuse(refusal.get().status(), reason, Optional.empty());
-		}
+		endUnserved(reason, () -> refuse(refusal.get().status(), reason, refusal.get().retryAfter()));
 		return true;
 	}
 
@@ -383,23 +326,14 @@
 			LOG.info("request_again", "request", this.key, "reason", reason, "attempt", this.attempt.id, "server",
 					this.attempt.serverId(), "runs", this.executionCount, "refused",
 					refusal.map((retryRefusal) -> retryRefusal.reason().name()).orElse("no"));
-			if (refusal.isPresent()) {
-				refused(refusal.get());
-			}
-			else {
-				this.forwarder.scheduleDispatch();
-			}
+			dispatchUnless(refusal);
 			return;
 		}
-		if (this.isStreaming) {
-			abort(reason);
-		}
-		else if (this.mayHaveRun) {
-			fail(HttpResponseStatus.BAD_GATEWAY, reason);
-		}
-		else {
-			refuse(reason, Duration.ofMillis(200));
-		}
+		endUnserved(reason, () -> refuse(reason, UNSERVED_RETRY_AFTER));
+	}
+
+	private boolean isInFlight() {
+		return this.attempt != null && this.attempt.isInFlight();
 	}
 
 	private boolean isResponsePassedOn() {
@@ -418,7 +352,7 @@
 		else if (this.isStreaming) {
 			abort("timeout");
 		}
-		else if (this.mayHaveRun || (this.attempt != null && this.attempt.isInFlight())) {
+		else if (this.mayHaveRun || isInFlight()) {
 			fail(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout");
 		}
 		else {
@@ -431,9 +365,7 @@
 		if (this.isEnded) {
 			return;
 		}
-		boolean isAttemptKept = this.route.kind() == Route.Kind.NON_IDEMPOTENT && this.attempt != null
-				&& this.attempt.isInFlight();
-		if (isAttemptKept) {
+		if (this.route.kind() == Route.Kind.NON_IDEMPOTENT && isInFlight()) {
 			// The attempt is not cancelled: the request may not be executed again, so
 			// its outcome could not be obtained otherwise.
 			this.attempt.detach();
@@ -451,9 +383,8 @@
 	void finish(int status, String reason) {
 		this.isEnded = true;
 		this.expiryTimer.cancel(false);
-		cancelQuotaTimer();
 		if (this.eventCount == 0 && this.quota.isOpen()) {
-			reportLateRequest();
+			this.demand.recordLate();
 		}
 		this.incoming.body().release();
 		boolean isDetached = this.attempt != null && this.attempt.isDetached();
@@ -463,14 +394,7 @@
 		this.quota.end(this.mayHaveRun || isDetached, System.nanoTime());
 		this.forwarder.traffic().cancel(this.key);
 		this.forwarder.removeCall(this);
-		double seconds = (System.nanoTime() - this.incoming.arrivedNanos()) / 1e9;
-		this.forwarder.metrics().recordEnd(status, seconds);
-		this.organisation.ifPresent((one) -> this.forwarder.metrics().recordOrganisationEnd(one.id(), status));
-		LOG.info("request_ended", "request", this.key, "route", this.route.name(), "service", this.service,
-				"organisation", this.organisation.map((one) -> one.id().value()).orElse("none"), "model",
-				this.requestMetadata.model().map((name) -> name.toId().value()).orElse("none"), "status", status,
-				"reason", reason, "server", (this.attempt != null) ? this.attempt.serverId() : "none", "sends",
-				this.sendCount, "events", this.eventCount, "arrival", this.arrival, "ms", Math.round(seconds * 1e3));
+		this.record.recordEnd(status, reason, (this.attempt != null) ? this.attempt.serverId() : "none");
 		this.forwarder.scheduleDispatch();
 	}
 
--- a/forward/src/main/java/org/celeryhill/forward/QuotaAdmission.java
+++ b/forward/src/main/java/org/celeryhill/forward/QuotaAdmission.java
@@ -1,7 +1,10 @@
 package org.celeryhill.forward;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.celeryhill.base.OrganisationId;
 import org.celeryhill.quota.QuotaDecision;
 import org.celeryhill.quota.QuotaGate;
@@ -19,6 +22,9 @@
 
 	private QuotaDecision earlyDecision;
 
+	/** Ends the wait, null if the request does not wait or is not limited in it. */
+	private Future<?> timer;
+
 	// Asks for admission. The listener is called at most once, not after end(), and not
 	// before the ticket is known.
 	void ask(QuotaGate gate, OrganisationId organisation, long tokens, long now, Consumer<QuotaDecision> listener) {
@@ -41,11 +47,22 @@
 			return;
 		}
 		this.state = (decision instanceof QuotaDecision.Admitted) ? State.ADMITTED : State.REJECTED;
+		cancelTimer();
 		listener.accept(decision);
 	}
 
-	boolean isWaiting() {
-		return this.state == State.WAITING;
+	// Calls a listener if a request that waits now has not been decided in time.
+	void limitWait(EventLoop loop, long nanos, Runnable listener) {
+		if (this.state == State.WAITING) {
+			this.timer = loop.schedule(listener, nanos, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	private void cancelTimer() {
+		if (this.timer != null) {
+			this.timer.cancel(false);
+			this.timer = null;
+		}
 	}
 
 	// Returns whether the quota has not been asked, or has admitted the request.
@@ -57,6 +74,7 @@
 	void end(boolean mayHaveRun, long now) {
 		State before = this.state;
 		this.state = State.ENDED;
+		cancelTimer();
 		if (before == State.WAITING) {
 			this.ticket.cancel(now);
 		}
--- a/forward/src/main/java/org/celeryhill/forward/StreamRelay.java
+++ b/forward/src/main/java/org/celeryhill/forward/StreamRelay.java
@@ -94,7 +94,7 @@
 			this.firstEventNanos = System.nanoTime();
 		}
 		else if (isRunConfirmed()) {
-			this.attempt.recordServed();
+			this.attempt.evidence.recordServed();
 		}
 	}
 
@@ -102,7 +102,7 @@
 		long waitedNanos = System.nanoTime() - this.call.incoming.arrivedNanos();
 		this.call.forwarder.metrics().recordFirstEvent(waitedNanos / 1e9);
 		if (waitedNanos > this.call.route.targetLatency().toNanos()) {
-			this.call.reportLateRequest();
+			this.call.demand.recordLate();
 		}
 		this.call.request.model()
 			.ifPresent((model) -> this.call.forwarder.recordCachedPrefix(this.attempt.server.id(), model,
