--- a/forward/src/main/java/org/celeryhill/forward/Forwarder.java
+++ b/forward/src/main/java/org/celeryhill/forward/Forwarder.java
@@ -2,32 +2,22 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import org.celeryhill.access.AccessDecision;
 import org.celeryhill.access.Organisation;
 import org.celeryhill.base.BackendServerId;
 import org.celeryhill.base.EventLog;
 import org.celeryhill.base.ModelId;
-import org.celeryhill.base.OrganisationId;
 import org.celeryhill.base.PriorityClass;
-import org.celeryhill.base.RequestId;
 import org.celeryhill.base.ServiceId;
 import org.celeryhill.base.UsageTotals;
 import org.celeryhill.port.Engine;
 import org.celeryhill.quota.QuotaGate;
-import org.celeryhill.quota.QuotaLimit;
 import org.celeryhill.traffic.TrafficAction;
 import org.celeryhill.traffic.TrafficController;
 
@@ -44,10 +34,6 @@
 	/** Period of the removal of expired evidence against prompt parts. */
 	private static final long EXPIRY_PERIOD_MS = 10_000;
 
-	private static final Duration UNCONFIGURED_RETRY_AFTER = Duration.ofMillis(300);
-
-	private static final String HOST_STOPPING = "host_stopping";
-
 	private final ActiveCalls calls = new ActiveCalls();
 
 	private final EventLoop loop;
@@ -84,7 +70,7 @@
 
 	private final HostStop stop = new HostStop();
 
-	private long acceptedRequestCount;
+	private final RequestReception reception = new RequestReception(this, this.stop);
 
 	private Forwarder(EventLoop loop, BackendClient client, HeaderCodec headerCodec, TrafficController traffic,
 			ForwardMetrics metrics) {
@@ -156,7 +142,7 @@
 	public void setQuotaGate(QuotaGate gate) {
 		this.quotaGate = gate;
 		if (this.table != null) {
-			gate.configure(quotaLimits(this.table), System.nanoTime());
+			gate.configure(RevisionMapping.quotaLimits(this.table), System.nanoTime());
 		}
 	}
 
@@ -185,21 +171,13 @@
 		this.table = next;
 		this.access.apply(next.keys());
 		this.traffic.apply(RevisionMapping.toRevision(next), System.nanoTime());
-		this.quotaGate.configure(quotaLimits(next), System.nanoTime());
+		this.quotaGate.configure(RevisionMapping.quotaLimits(next), System.nanoTime());
 		this.directory.republish();
 		this.calls.recheckAccess();
 		scheduleDispatch();
 		return true;
 	}
 
-	private static Map<OrganisationId, QuotaLimit> quotaLimits(RoutingTable table) {
-		Map<OrganisationId, QuotaLimit> limits = new HashMap<>();
-		for (Organisation organisation : table.keys().organisations()) {
-			organisation.quota().ifPresent((limit) -> limits.put(organisation.id(), limit));
-		}
-		return limits;
-	}
-
 	// Checks again whether a request may be sent to a backend server.
 	Optional<AccessGuard.Refusal> recheckAccess(ForwardCall call) {
 		Route route = findRoute(call.incoming).orElse(call.route);
@@ -210,7 +188,7 @@
 		return RevisionMapping.priority(this.table, route, organisation);
 	}
 
-	private Optional<Route> findRoute(IncomingRequest request) {
+	Optional<Route> findRoute(IncomingRequest request) {
 		return this.table.findRoute(request.headers().get(HttpHeaderNames.HOST, ""), request.target());
 	}
 
@@ -295,50 +273,12 @@
 
 	@Override
 	public ActiveRequest handle(IncomingRequest request, ResponseChannel channel) {
-		RequestMetadata metadata = this.headerCodec.decodeRequest(request.headers());
-		String id = metadata.id().orElse("none");
-		if (!this.stop.isAccepting()) {
-			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, HOST_STOPPING);
-		}
-		if (this.table == null) {
-			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "no_configuration");
-		}
-		if (metadata.id().isEmpty()) {
-			return refuse(request, channel, id, HttpResponseStatus.BAD_REQUEST, "no_request_id");
-		}
-		Optional<Route> route = findRoute(request);
-		if (route.isEmpty()) {
-			return refuse(request, channel, id, HttpResponseStatus.NOT_FOUND, "no_route");
-		}
-		AccessDecision decision = this.access.check(route.get(), metadata.keys());
-		if (decision instanceof AccessDecision.Denied denied) {
-			AccessGuard.Refusal refusal = this.access.refusalOf(denied);
-			return refuse(request, channel, id, refusal.status(), refusal.reason());
-		}
-		if (!this.stop.canEndInTime(route.get())) {
-			return refuse(request, channel, id, HttpResponseStatus.SERVICE_UNAVAILABLE, HOST_STOPPING);
-		}
-		RequestId key = RequestId.of(id + "." + this.acceptedRequestCount++);
-		Optional<Organisation> organisation = ((AccessDecision.Granted) decision).organisation();
-		ForwardCall call = new ForwardCall(this, key, request, metadata, route.get(), organisation, channel);
-		this.calls.add(call);
-		call.submit();
-		return call;
-	}
-
-	private ActiveRequest refuse(IncomingRequest request, ResponseChannel channel, String id, HttpResponseStatus status,
-			String reason) {
-		request.body().release();
-		this.metrics.refused(reason);
-		LOG.info("request_refused", "request", id, "status", status.code(), "reason", reason, "target",
-				request.target(), "version", (this.table != null) ? this.table.version() : 0);
-		HttpHeaders headers = new DefaultHttpHeaders();
-		if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-			this.headerCodec.encodeRetryAfter(headers, UNCONFIGURED_RETRY_AFTER);
-		}
-		AccessGuard.addChallenge(headers, status);
-		channel.respond(status, headers, Unpooled.EMPTY_BUFFER);
-		return ActiveRequest.NONE;
+		Optional<ForwardCall> call = this.reception.accept(request, channel);
+		call.ifPresent((accepted) -> {
+			this.calls.add(accepted);
+			accepted.submit();
+		});
+		return call.map(ActiveRequest.class::cast).orElse(ActiveRequest.NONE);
 	}
 
 	CallerPatience callerPatience() {
--- a/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
+++ b/forward/src/main/java/org/celeryhill/forward/IngressConnection.java
@@ -1,5 +1,7 @@
 package org.celeryhill.forward;
 
+import java.util.Optional;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -45,9 +47,7 @@
 
 	private HttpRequest currentRequest;
 
-	private ByteBuf body;
-
-	private int reservedBytes;
+	private final RequestBody body;
 
 	private long headersReceivedNanos;
 
@@ -77,6 +77,7 @@
 		this.server = server;
 		this.handler = handler;
 		this.decoder = decoder;
+		this.body = new RequestBody(server);
 	}
 
 	@Override
@@ -128,7 +129,6 @@
 	private void startRequest(HttpRequest request) {
 		this.currentRequest = request;
 		this.headersReceivedNanos = System.nanoTime();
-		this.body = Unpooled.EMPTY_BUFFER;
 		long length = HttpUtil.getContentLength(request, 0L);
 		if (!isAscii(request.uri())) {
 			LOG.warn("request_malformed", "status", HttpResponseStatus.BAD_REQUEST.code(), "cause",
@@ -150,22 +150,13 @@
 	}
 
 	private void appendBody(HttpContent content) {
-		int size = content.content().readableBytes();
-		if (size > 0) {
-			if (this.body.readableBytes() + size > this.handler.limits().maxBodyBytes()) {
-				reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+		if (content.content().isReadable()) {
+			Optional<HttpResponseStatus> rejection = this.body.add(content.content(),
+					this.handler.limits().maxBodyBytes());
+			if (rejection.isPresent()) {
+				reject(rejection.get());
 				return;
 			}
-			if (!this.server.reserveBodyBytes(size)) {
-				LOG.warn("request_refused", "reason", "body_memory", "bytes", size);
-				reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-				return;
-			}
-			this.reservedBytes += size;
-			if (this.body == Unpooled.EMPTY_BUFFER) {
-				this.body = Unpooled.buffer(size);
-			}
-			this.body.writeBytes(content.content());
 		}
 		if (content instanceof LastHttpContent) {
 			dispatch();
@@ -174,14 +165,12 @@
 
 	private void dispatch() {
 		HttpRequest request = this.currentRequest;
-		ByteBuf bytes = this.body;
 		this.currentRequest = null;
-		this.body = null;
 		startHandling();
 		this.isClosePending |= !HttpUtil.isKeepAlive(request);
 		this.isChunkedSupported = request.protocolVersion().isKeepAliveDefault();
-		IncomingRequest incoming = new IncomingRequest(request.method(), request.uri(), request.headers(), bytes,
-				this.headersReceivedNanos);
+		IncomingRequest incoming = new IncomingRequest(request.method(), request.uri(), request.headers(),
+				this.body.take(), this.headersReceivedNanos);
 		RequestHandler.ActiveRequest activeRequest = this.handler.handle(incoming, this);
 		if (this.isHandlingRequest) {
 			this.running = activeRequest;
@@ -195,9 +184,7 @@
 
 	private void discardRequest() {
 		this.currentRequest = null;
-		this.body = null;
-		this.server.releaseBodyBytes(this.reservedBytes);
-		this.reservedBytes = 0;
+		this.body.end();
 	}
 
 	@Override
--- a/forward/src/main/java/org/celeryhill/forward/RevisionMapping.java
+++ b/forward/src/main/java/org/celeryhill/forward/RevisionMapping.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,7 @@
 import org.celeryhill.config.PlacementLimits;
 import org.celeryhill.config.Revision;
 import org.celeryhill.config.ServiceTemplate;
+import org.celeryhill.quota.QuotaLimit;
 
 /**
  * Converts a routing table into the configuration revision that admission, routing and
@@ -182,4 +184,13 @@
 		return "a" + number;
 	}
 
+	// Returns the limits of the organisations that have one.
+	static Map<OrganisationId, QuotaLimit> quotaLimits(RoutingTable table) {
+		Map<OrganisationId, QuotaLimit> limits = new HashMap<>();
+		for (Organisation organisation : table.keys().organisations()) {
+			organisation.quota().ifPresent((limit) -> limits.put(organisation.id(), limit));
+		}
+		return limits;
+	}
+
 }
